--- /dev/null
+++ b/example/demo.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/include/papayahook/papayahook.hpp
@@ -0,0 +1,874 @@
+// papayahook: serving on reclaimable instances. The one public header.
+//
+// Index of sections
+//   [1] Time and names
+//   [2] Outcomes, refusals and errors
+//   [3] Configuration records   what operators publish on the log
+//   [4] Messages between nodes
+//   [5] Events                  all that can happen to a node
+//   [6] Effects                 all that a node can ask its runtime to do
+//   [7] State                   all that a node knows
+//   [8] reduce()                event in, effects out
+//   [9] Settings of the core
+//
+// Usage: keep one node_state, call reduce() for every event in the order in
+// which they happened, carry out the effects in order. Nothing in here reads
+// a clock, does I/O or draws random numbers; all of that enters as events.
+// Thread safety: none; one thread owns a node_state.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace papayahook::core {
+
+// ---------------------------------------------------------------------------
+// [1] Time and names
+// ---------------------------------------------------------------------------
+
+using duration = std::chrono::microseconds;
+using time_point = std::chrono::time_point<std::chrono::system_clock, duration>;
+
+using request_id = std::string; // "<node>.<incarnation>.<number>"
+using call_id = std::uint64_t;  // one attempt of a request at an endpoint
+using offset = std::uint64_t;   // position in a stream of the log, from 1
+
+enum class endpoint_kind
+{
+    model_runner,  // streams tokens, can continue from a given token
+    plain_service, // any HTTP service
+};
+
+enum class priority_class
+{
+    order, // not repeatable, someone waits
+    chat,  // someone reads along
+    check, // someone waits for the whole
+    job,   // overnight
+};
+
+// ---------------------------------------------------------------------------
+// [2] Outcomes, refusals and errors
+// ---------------------------------------------------------------------------
+
+// What is known of a request that got no whole answer.
+enum class outcome
+{
+    not_run,         // no endpoint ran it, and none will for this request
+    outcome_unknown, // an endpoint may have run it
+};
+
+// Where a failure arose. Every refusal and log event carries one.
+enum class step
+{
+    authenticate,
+    admit,
+    queue,
+    claim,
+    route,
+    connect,
+    send,
+    receive,
+    answer,
+    shutdown,
+};
+
+struct refusal
+{
+    int status = 503;                   // HTTP status for the caller
+    outcome what = outcome::not_run;    // never guessed: see docs/REFUSALS.md
+    step where = step::admit;           // step that failed
+    std::string peer;                   // endpoint or node; may be empty
+    std::string detail;                 // one sentence for a person
+    std::chrono::seconds retry_after{}; // zero: do not say
+};
+
+// ---------------------------------------------------------------------------
+// [3] Configuration records
+// ---------------------------------------------------------------------------
+
+struct organisation
+{
+    std::string name;
+    std::vector<std::string> key_digests; // SHA-256 of the bearer keys, hex
+    double weight = 1.0;                  // share under contention
+    int max_in_flight = 1000;             // per node
+};
+
+struct endpoint
+{
+    std::string name;
+    endpoint_kind kind = endpoint_kind::plain_service;
+    std::string pool;                         // routes name a pool
+    std::string address;                      // "ip:port"
+    std::string zone;                         // availability zone
+    std::string version;                      // of the model or service
+    std::vector<std::string> schema_versions; // empty: takes any record
+    int slots = 16;                           // requests run at once
+    bool checks_fencing = false;              // refuses old fencing numbers
+    std::string incarnation;                  // new one: same address is new
+};
+
+struct route
+{
+    std::string name;
+    std::string pool;
+    std::string version; // back-end version in force
+    priority_class klass = priority_class::chat;
+    bool repeatable = true; // false: runs at most once
+    std::chrono::milliseconds deadline{30'000};
+    std::chrono::milliseconds progress_timeout{2'000}; // quiet: failed
+};
+
+// Moves a route from its version to another by a deadline.
+struct version_move
+{
+    std::string name;
+    std::string route;
+    std::string to;
+    time_point deadline{};
+    double canary_share = 0.02;     // until the version has shown itself
+    int min_samples = 30;           // answers per stage before a verdict
+    double max_bad_excess = 0.1;    // share of bad answers over the old one's
+    double max_latency_ratio = 2.0; // slower than this x the old mean: bad
+};
+
+enum class move_end
+{
+    finished,
+    taken_back,
+};
+
+// Written by nodes: a move goes on a stage, or ends.
+struct move_step
+{
+    std::string move;
+    int stage = 0;               // index into stage_shares
+    std::optional<move_end> end; // set: the move ends here
+    std::string reason;
+    std::string node;
+};
+
+template <class T>
+struct revisioned
+{
+    T value;
+    offset revision = 0; // offset of the record in force
+};
+
+struct move_snapshot
+{
+    version_move spec;
+    std::string from;
+    int stage = 0;
+    std::optional<move_end> end;
+    std::string reason;
+    offset started = 0;
+    offset revision = 0;
+    time_point stage_since{};
+};
+
+// All that is in force up to `applied`. Written by nodes before the log's
+// retention takes records that still hold; also sent to peers that start
+// while the log is down.
+struct config_snapshot
+{
+    offset applied = 0;
+    std::vector<revisioned<organisation>> organisations;
+    std::vector<revisioned<endpoint>> endpoints;
+    std::vector<revisioned<route>> routes;
+    std::vector<move_snapshot> moves;
+};
+
+using config_body = std::variant<organisation, endpoint, route, version_move,
+                                 move_step, config_snapshot>;
+
+// A record of the "config" stream. `replaces` is the revision it follows:
+// the offset of the record now in force under the same kind and name, 0 for
+// none. The first record by offset that follows the revision in force wins.
+struct config_record
+{
+    std::string id; // unique; settles a lost append answer
+    offset replaces = 0;
+    bool remove = false; // takes the name out of force
+    config_body body;
+};
+
+// A record of the "claims" stream: the right to run one request that is not
+// repeatable, or what became of it.
+enum class claim_kind
+{
+    claim,    // first by offset wins; only its writer ever dispatches
+    answered, // the whole answer, shared with later callers of the key
+    released, // proved not run: the next claim of the key may win
+    unknown,  // may have run, answer lost: final
+};
+
+struct claim_record
+{
+    claim_kind kind = claim_kind::claim;
+    std::string key;     // digest of organisation, route and idempotency key
+    std::string request; // request id of the claim
+    std::string body_digest; // same key with another body is refused
+    int status = 0;          // answered: HTTP status
+    std::string content_type;
+    std::string body;
+};
+
+struct log_entry
+{
+    offset at = 0;
+    time_point written{}; // stamped by the log
+    std::string id;
+    std::variant<config_record, claim_record> record;
+};
+
+// ---------------------------------------------------------------------------
+// [4] Messages between nodes
+// ---------------------------------------------------------------------------
+
+inline constexpr int protocol_version = 1;
+
+struct hello
+{
+    int protocol = protocol_version;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::string zone;
+    std::string caller_address; // where callers' requests can be re-attached
+    std::string proof;          // keyed digest over the fields above
+};
+
+struct heartbeat
+{
+    offset config = 0; // highest offset applied
+    int in_flight = 0;
+    bool leaving = false;
+};
+
+// Spreads by flooding, each item once: a node relays what it did not know.
+struct endpoint_leaving
+{
+    std::string endpoint;
+    std::string incarnation;
+    auto operator<=>(endpoint_leaving const&) const = default;
+};
+
+struct version_veto
+{
+    std::string move;
+    offset started = 0; // revision of the move's own record
+    std::string reason;
+};
+
+// Up or down by the word of a neighbour; a member refutes its own "down"
+// with a higher sequence number.
+struct member_news
+{
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    bool up = false;
+    std::string zone;
+    std::string caller_address;
+};
+
+// Cumulative counts of one node for one version under a move.
+struct version_counts
+{
+    std::uint64_t answers = 0; // whole ones, good or bad, and failures
+    std::uint64_t bad = 0;     // failed, or slow against the old version
+};
+
+struct move_counts
+{
+    std::string move;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    offset started = 0;
+    int stage = 0;
+    version_counts from;
+    version_counts to;
+};
+
+struct news
+{
+    std::vector<endpoint_leaving> leaving;
+    std::vector<version_veto> vetoes;
+    std::vector<member_news> members;
+    std::vector<move_counts> counts;
+};
+
+struct config_request
+{
+    offset from = 0;
+};
+
+struct config_records
+{
+    std::vector<log_entry> entries;
+};
+
+using peer_message = std::variant<hello, heartbeat, news, config_request,
+                                  config_records, config_snapshot>;
+
+// ---------------------------------------------------------------------------
+// [5] Events
+// ---------------------------------------------------------------------------
+
+struct request_arrived
+{
+    request_id id;
+    std::string key_digest; // SHA-256 of the caller's bearer key
+    std::string route;
+    bool model = false;          // asked through a model path
+    bool keep = false;           // goes on when the caller has gone
+    std::string idempotency_key; // empty: none sent
+    std::string body_digest;
+    std::string schema_version; // empty: any
+    std::optional<priority_class> klass;
+    std::optional<std::chrono::milliseconds> deadline; // from now
+    int prompt_tokens = 0;
+    std::vector<std::uint64_t> prefix_blocks; // chained hashes of the prompt
+};
+
+struct caller_gone
+{
+    request_id id;
+};
+
+// The runtime has handed the bytes below `index` to the caller's socket.
+struct caller_drained
+{
+    request_id id;
+    std::uint64_t index = 0;
+};
+
+// A caller asks again for an answer, from a given chunk on.
+struct reattach
+{
+    request_id id;
+    std::uint64_t from = 0;
+};
+
+struct answer_head
+{
+    call_id call = 0;
+    int status = 200;
+    std::string content_type;
+    bool not_run = false; // the endpoint says that it did not run it
+    bool leaving = false; // the endpoint says that it is leaving
+};
+
+// For a model runner one token with its index; else one piece of the body.
+struct answer_chunk
+{
+    call_id call = 0;
+    std::uint64_t index = 0;
+    std::string data;
+};
+
+struct answer_end
+{
+    call_id call = 0;
+    std::uint64_t chunks = 0; // total; fewer held: the answer is cut short
+};
+
+struct call_failed
+{
+    call_id call = 0;
+    step where = step::connect;
+    bool may_have_run = false;
+    std::string detail;
+};
+
+struct log_read
+{
+    std::string stream; // "config" or "claims"
+    offset start = 0;   // oldest offset that the log still holds
+    offset end = 0;     // highest offset at the time of the read
+    std::vector<log_entry> entries;
+};
+
+struct append_done
+{
+    std::uint64_t append = 0;
+    bool ok = false;
+    bool in_doubt = false; // may stand on the log all the same
+};
+
+struct log_reachable
+{
+    bool reachable = false;
+};
+
+struct peer_opened
+{
+    std::uint64_t link = 0;
+};
+
+struct peer_received
+{
+    std::uint64_t link = 0;
+    peer_message message;
+};
+
+struct peer_closed
+{
+    std::uint64_t link = 0;
+};
+
+struct endpoint_report
+{
+    std::string endpoint;
+    std::string incarnation;
+    bool leaving = false;
+    int running = 0;
+    int waiting = 0;
+};
+
+struct listed_instance
+{
+    std::string endpoint;
+    std::string incarnation;
+    bool leaving = false;
+};
+
+// The platform's list of live and leaving instances; lags.
+struct instance_list
+{
+    std::vector<listed_instance> instances;
+};
+
+struct shutdown_requested
+{
+};
+
+struct tick
+{
+};
+
+struct event
+{
+    time_point at{};
+    std::variant<request_arrived, caller_gone, caller_drained, reattach,
+                 answer_head, answer_chunk, answer_end, call_failed, log_read,
+                 append_done, log_reachable, peer_opened, peer_received,
+                 peer_closed, endpoint_report, instance_list,
+                 shutdown_requested, tick>
+        what;
+};
+
+// ---------------------------------------------------------------------------
+// [6] Effects
+// ---------------------------------------------------------------------------
+
+struct refuse
+{
+    request_id id;
+    refusal why;
+};
+
+struct dispatch
+{
+    request_id id;
+    call_id call = 0;
+    std::string endpoint;
+    std::string address;
+    endpoint_kind kind = endpoint_kind::plain_service;
+    std::string version;
+    std::vector<std::string> resume_chunks; // tokens that the caller has
+    bool fresh_connection = false;
+    std::chrono::milliseconds timeout{};
+};
+
+struct cancel_call
+{
+    call_id call = 0;
+};
+
+struct pause_call
+{
+    call_id call = 0;
+};
+
+struct resume_call
+{
+    call_id call = 0;
+};
+
+struct send_head
+{
+    request_id id;
+    int status = 200;
+    std::string content_type;
+};
+
+struct send_chunk
+{
+    request_id id;
+    std::uint64_t index = 0;
+    std::string data;
+};
+
+struct finish_answer
+{
+    request_id id;
+};
+
+// The head was sent, the rest cannot be had: a typed error event, no end mark.
+struct fail_answer
+{
+    request_id id;
+    refusal why;
+};
+
+struct append
+{
+    std::uint64_t append = 0;
+    std::string stream;
+    std::string id; // same id on a retry
+    std::vector<std::variant<config_record, claim_record>> records;
+};
+
+struct send_peer
+{
+    std::uint64_t link = 0;
+    peer_message message;
+};
+
+struct close_peer
+{
+    std::uint64_t link = 0;
+};
+
+// A numbered event for the log; catalogue in docs/EVENTS.md.
+struct log_event
+{
+    int number = 0;
+    std::string subject; // request, move, endpoint, node
+    std::string peer;
+    std::string detail;
+};
+
+struct exit_process
+{
+};
+
+using effect =
+    std::variant<refuse, dispatch, cancel_call, pause_call, resume_call,
+                 send_head, send_chunk, finish_answer, fail_answer, append,
+                 send_peer, close_peer, log_event, exit_process>;
+using effects = std::vector<effect>;
+
+// ---------------------------------------------------------------------------
+// [9] Settings of the core (before [7], which holds them)
+// ---------------------------------------------------------------------------
+
+struct node_settings
+{
+    std::string name;
+    std::string zone;
+    std::uint64_t incarnation = 0; // grows with every start
+    std::string caller_address;
+    std::string hello_proof;
+
+    int max_queue = 2000;          // requests waiting on this node
+    std::size_t max_backlog = 256; // chunks held for a slow caller, then pause
+    int max_attempts = 4;          // dispatches of one request
+    double retry_budget = 0.2;     // retries per first dispatch, per route
+    int claim_batch = 256;         // claim records per append
+    std::size_t max_shared_body = 16 * 1024;         // answer kept on the log
+    std::size_t max_shared_bytes = 16 * 1024 * 1024; // of all such answers
+    std::chrono::milliseconds hop_cost{2};           // endpoint in another zone
+    std::chrono::microseconds prefill_per_token{100};
+    std::chrono::milliseconds endpoint_pause{1'000}; // after failures
+    std::chrono::milliseconds report_horizon{3'000}; // older load: ignored
+    std::chrono::milliseconds heartbeat_period{1'000};
+    std::chrono::milliseconds peer_timeout{3'500};
+    std::chrono::milliseconds stage_time{3'000};     // shortest stay in a stage
+    std::chrono::milliseconds move_margin{2'000};    // taken back this early
+    std::chrono::milliseconds answer_linger{30'000}; // kept for re-attach
+    std::chrono::seconds claim_horizon{86'400};      // at most the retention
+    std::chrono::milliseconds append_retry{200};
+    std::uint64_t checkpoint_every = 256; // config records
+    std::chrono::seconds checkpoint_period{3'600};
+};
+
+// ---------------------------------------------------------------------------
+// [7] State
+// ---------------------------------------------------------------------------
+
+struct record_verdict
+{
+    std::string id;
+    offset at = 0;
+    bool accepted = false;
+    std::string reason; // of a refusal; names the record that won
+};
+
+// A move as the log tells it, and what nodes measured under it.
+struct move_state
+{
+    version_move spec;
+    std::string from;
+    int stage = 0;
+    std::optional<move_end> end;
+    std::string reason;
+    bool vetoed = false;         // stops the new version's share at once
+    time_point step_due_since{}; // a step has been due here since then
+    time_point step_asked_at{};  // last append of a step by this node
+    offset started = 0;          // offset of the move's own record
+    offset revision = 0;         // of the last record, steps included
+    time_point stage_since{};
+    version_counts own_from; // of this stage, this node
+    version_counts own_to;
+    double baseline_us = 0; // moving mean of the old version's first token
+    std::map<std::string, move_counts> others; // by node
+    std::uint64_t offered = 0; // requests of the route seen in this stage
+    std::uint64_t sent_to = 0; // of these, to the new version
+};
+
+struct configuration
+{
+    offset applied = 0;
+    std::map<std::string, revisioned<organisation>> organisations;
+    std::map<std::string, revisioned<endpoint>> endpoints;
+    std::map<std::string, revisioned<route>> routes;
+    std::map<std::string, move_state> moves;
+    std::map<std::string, std::string> organisation_by_key;
+    std::deque<record_verdict> verdicts; // newest last, bounded
+    std::deque<log_entry> entries;       // newest, for peers that lag
+    offset checkpoint = 0; // highest `applied` of a checkpoint seen
+    time_point checkpoint_at{};
+};
+
+struct endpoint_state
+{
+    int in_flight = 0; // own calls
+    int reported = 0;  // running + waiting by its own report
+    int own_at_report = 0;
+    time_point reported_at{};
+    int failures = 0; // in a row
+    time_point paused_until{};
+    std::string leaving_incarnation; // no new work for this incarnation
+    bool leaving_any = false;        // leaving and its incarnation is not known
+    double first_token_us = 0;       // moving average
+    std::set<std::uint64_t> prefixes;
+    std::deque<std::uint64_t> prefix_order; // oldest first
+};
+
+enum class request_phase
+{
+    queued,
+    claiming,  // own claim not yet read back
+    following, // another request holds the claim of the key
+    calling,
+    answering, // the caller has the head
+    done,
+};
+
+struct request_state
+{
+    request_arrived asked;
+    std::string organisation;
+    priority_class klass = priority_class::chat;
+    bool repeatable = true;
+    request_phase phase = request_phase::queued;
+    time_point arrived{};
+    time_point deadline{};
+    double tag = 0; // fair queueing
+    std::string claim_key;
+    call_id call = 0; // 0: none open
+    std::string endpoint;
+    std::string version;     // fixed by the first chunk
+    std::string move;        // counted for this move
+    bool counts_new = false; // sent to the move's new version
+    bool slow = false;       // first chunk late against the old version
+    int attempts = 0;
+    bool may_have_run = false;
+    bool caller_present = true;
+    time_point call_started{};
+    time_point progress_at{};
+    int status = 0;
+    std::string content_type;
+    bool head_sent = false;
+    bool first_chunk_seen = false;
+    bool paused = false;
+    std::vector<std::string> chunks;            // in order from 0
+    std::map<std::uint64_t, std::string> early; // ahead of a gap
+    std::uint64_t sent = 0;                     // chunks handed to the runtime
+    std::uint64_t drained = 0;                  // chunks on the caller's socket
+    std::optional<std::uint64_t> total;
+    std::optional<refusal> failure;
+    std::vector<std::string> tried; // endpoints that failed this request
+    time_point ended{};
+};
+
+struct claim_state
+{
+    offset at = 0;
+    std::string request; // holder
+    std::string body_digest;
+    time_point written{};
+    claim_kind kind = claim_kind::claim;
+    int status = 0;
+    std::string content_type;
+    std::string body;
+    std::vector<request_id> followers; // requests here that wait for it
+};
+
+// An append not yet known to stand on the log; repeated with the same id.
+struct pending_append
+{
+    append what;
+    bool in_flight = true;
+    time_point retry_at{};
+};
+
+struct once_state
+{
+    offset applied = 0;
+    bool caught_up = false;       // read to the end since this node started
+    time_point known_since{};     // older claims may have left the log unseen
+    std::size_t shared_bytes = 0; // of bodies in claims
+    std::map<std::string, claim_state> claims;
+    std::deque<std::pair<time_point, std::string>> by_age;
+    std::vector<claim_record> batch; // waits for the append in flight
+    std::uint64_t append_open = 0;   // 0: none in flight
+};
+
+struct peer_state
+{
+    std::uint64_t link = 0;
+    std::string node; // empty until its hello
+    std::uint64_t incarnation = 0;
+    std::string zone;
+    std::string caller_address;
+    time_point heard{};
+    heartbeat last;
+};
+
+// Why something was decided; a bounded ring, printed by papayahookctl explain.
+struct decision
+{
+    time_point at{};
+    std::string subject;
+    std::string rule;
+    std::string detail;
+};
+
+struct totals
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused_not_run = 0;
+    std::uint64_t refused_unknown = 0;
+    std::uint64_t failed_answers = 0;
+    std::uint64_t dispatches = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t resumed_streams = 0;
+    std::uint64_t tokens_recomputed = 0;
+    std::uint64_t appends = 0;
+    std::uint64_t claims = 0;
+    std::uint64_t peer_messages = 0;
+};
+
+// Waiting requests of a pool by priority class, then fair tag.
+using request_queue = std::set<std::tuple<priority_class, double, request_id>>;
+
+struct node_state
+{
+    node_settings settings;
+    time_point now{};
+    bool leaving = false;
+    bool log_reachable = false;
+    configuration config;
+    once_state once;
+    std::map<std::string, endpoint_state> endpoints;
+    std::unordered_map<request_id, request_state> requests;
+    std::unordered_map<call_id, request_id> calls;
+    std::map<std::string, request_queue> queues;     // by pool
+    std::map<std::uint64_t, pending_append> appends; // by number
+    std::map<std::string, member_news> members;      // by node, self included
+    std::map<std::string, double> fair_tag;          // by organisation
+    double fair_now = 0;
+    std::map<std::string, int> in_flight;       // by organisation
+    std::map<std::string, double> retry_tokens; // by route
+    std::map<std::uint64_t, peer_state> peers;  // by link
+    std::set<endpoint_leaving> known_leaving;
+    std::map<std::pair<std::string, offset>, std::string> vetoes;
+    std::deque<decision> decisions;
+    time_point heartbeat_at{};
+    call_id next_call = 1;
+    std::uint64_t next_append = 1;
+    totals counts;
+};
+
+// ---------------------------------------------------------------------------
+// [8] reduce()
+// ---------------------------------------------------------------------------
+
+// Applies one event and appends what has to be done about it to `out`.
+// Never throws for any event; unknown ids are ignored.
+void reduce(node_state& state, event const& what, effects& out);
+
+// Shares of the route that a move gives its new version, stage by stage; the
+// first is the move's canary_share.
+inline constexpr double stage_shares[] = {0.02, 0.1, 0.5, 0.9};
+inline constexpr int last_stage = 3;
+
+// Applies one entry of the "config" stream; also used by papayahookctl to
+// tell whether a record was accepted. Returns the verdict.
+record_verdict apply_config(configuration& config, log_entry const& entry);
+
+// Installs a snapshot that is newer than what is applied; false otherwise.
+bool install_snapshot(configuration& config, config_snapshot const& snapshot);
+config_snapshot take_snapshot(configuration const& config);
+
+// The oldest checkpoint in a read that closes the gap before its start;
+// nullptr when there is none.
+config_snapshot const* closing_checkpoint(log_read const& read);
+
+// The peers that a node dials, so that the links of all nodes together form
+// a connected graph of the given degree; all peers when there are few.
+std::vector<std::string> links_to_dial(std::string const& self,
+                                       std::vector<std::string> const& names,
+                                       int degree);
+
+// Tokens of a prompt that one entry of prefix_blocks stands for.
+inline constexpr int prefix_block_tokens = 16;
+
+std::uint64_t hash_of(std::string_view text);
+std::string digest_of(std::string_view text); // 128 bits, hexadecimal
+
+// Name of a record within its kind, and its kind ("route", "endpoint"...).
+std::string record_name(config_body const& body);
+std::string record_kind(config_body const& body);
+
+// Revision now in force under the record's kind and name; 0 for none.
+offset revision_in_force(configuration const& config, config_body const& body);
+
+// Empty when the record is sound by itself, else what is wrong with it.
+std::string check_record(config_body const& body);
+
+// Short names for dumps, metrics and problem documents.
+char const* to_string(outcome it);
+char const* to_string(step it);
+char const* to_string(endpoint_kind it);
+char const* to_string(priority_class it);
+char const* to_string(move_end it);
+char const* to_string(claim_kind it);
+char const* to_string(request_phase it);
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/codec/json.cpp
@@ -0,0 +1,540 @@
+#include "codec/json.hpp"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <openssl/hmac.h>
+#include <openssl/sha.h>
+#include <stdexcept>
+
+// Serializers of standard types that the library does not bring.
+namespace nlohmann {
+
+template <class Rep, class Period>
+struct adl_serializer<std::chrono::duration<Rep, Period>>
+{
+    using type = std::chrono::duration<Rep, Period>;
+    static void to_json(json& j, type it) { j = it.count(); }
+    static void from_json(json const& j, type& it) { it = type(j.get<Rep>()); }
+};
+
+template <>
+struct adl_serializer<papayahook::core::time_point>
+{
+    using type = papayahook::core::time_point;
+    static void to_json(json& j, type it) { j = it.time_since_epoch().count(); }
+    static void from_json(json const& j, type& it)
+    {
+        it = type(papayahook::core::duration(j.get<std::int64_t>()));
+    }
+};
+
+template <class T>
+struct adl_serializer<std::optional<T>>
+{
+    static void to_json(json& j, std::optional<T> const& it)
+    {
+        j = it ? json(*it) : json(nullptr);
+    }
+    static void from_json(json const& j, std::optional<T>& it)
+    {
+        it = j.is_null() ? std::optional<T>{} : j.get<T>();
+    }
+};
+
+} // namespace nlohmann
+
+namespace papayahook::core {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(endpoint_kind,
+                             {{endpoint_kind::model_runner, "model_runner"},
+                              {endpoint_kind::plain_service, "plain_service"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(priority_class, {{priority_class::order, "order"},
+                                              {priority_class::chat, "chat"},
+                                              {priority_class::check, "check"},
+                                              {priority_class::job, "job"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(outcome,
+                             {{outcome::not_run, "not_run"},
+                              {outcome::outcome_unknown, "outcome_unknown"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(step, {{step::authenticate, "authenticate"},
+                                    {step::admit, "admit"},
+                                    {step::queue, "queue"},
+                                    {step::claim, "claim"},
+                                    {step::route, "route"},
+                                    {step::connect, "connect"},
+                                    {step::send, "send"},
+                                    {step::receive, "receive"},
+                                    {step::answer, "answer"},
+                                    {step::shutdown, "shutdown"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(move_end, {{move_end::finished, "finished"},
+                                        {move_end::taken_back, "taken_back"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(claim_kind, {{claim_kind::claim, "claim"},
+                                          {claim_kind::answered, "answered"},
+                                          {claim_kind::released, "released"},
+                                          {claim_kind::unknown, "unknown"}})
+
+#define PAPAYAHOOK_JSON(...)                                                   \
+    NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(__VA_ARGS__)
+
+PAPAYAHOOK_JSON(refusal, status, what, where, peer, detail, retry_after)
+PAPAYAHOOK_JSON(organisation, name, key_digests, weight, max_in_flight)
+PAPAYAHOOK_JSON(endpoint, name, kind, pool, address, zone, version,
+                schema_versions, slots, checks_fencing, incarnation)
+PAPAYAHOOK_JSON(route, name, pool, version, klass, repeatable, deadline,
+                progress_timeout)
+PAPAYAHOOK_JSON(version_move, name, route, to, deadline, canary_share,
+                min_samples, max_bad_excess, max_latency_ratio)
+PAPAYAHOOK_JSON(move_step, move, stage, end, reason, node)
+PAPAYAHOOK_JSON(revisioned<organisation>, value, revision)
+PAPAYAHOOK_JSON(revisioned<endpoint>, value, revision)
+PAPAYAHOOK_JSON(revisioned<route>, value, revision)
+PAPAYAHOOK_JSON(move_snapshot, spec, from, stage, end, reason, started,
+                revision, stage_since)
+PAPAYAHOOK_JSON(config_snapshot, applied, organisations, endpoints, routes,
+                moves)
+
+// JSON text holds only UTF-8: other bodies go as hexadecimal digits.
+inline bool is_utf8(std::string const& text)
+{
+    try {
+        return !nlohmann::json(text).dump().empty();
+    }
+    catch (nlohmann::json::exception const&) {
+        return false;
+    }
+}
+
+inline std::string to_hex(std::string const& text)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    std::string out;
+    for (unsigned char const byte : text) {
+        out += digits[byte >> 4];
+        out += digits[byte & 0xf];
+    }
+    return out;
+}
+
+inline std::string from_hex(std::string const& text)
+{
+    std::string out;
+    for (std::size_t i = 0; i + 1 < text.size(); i += 2)
+        out += static_cast<char>(std::stoi(text.substr(i, 2), nullptr, 16));
+    return out;
+}
+
+// Fields that hold their default are left out: most claims need three.
+inline void to_json(nlohmann::json& j, claim_record const& it)
+{
+    j = {{"kind", it.kind}, {"key", it.key}, {"request", it.request}};
+    if (!it.body_digest.empty())
+        j["body_digest"] = it.body_digest;
+    if (it.status != 0)
+        j["status"] = it.status;
+    if (!it.content_type.empty())
+        j["content_type"] = it.content_type;
+    if (!it.body.empty() && is_utf8(it.body))
+        j["body"] = it.body;
+    else if (!it.body.empty())
+        j["body_hex"] = to_hex(it.body);
+}
+
+inline void from_json(nlohmann::json const& j, claim_record& it)
+{
+    it.kind = j.at("kind");
+    it.key = j.at("key");
+    it.request = j.at("request");
+    it.body_digest = j.value("body_digest", "");
+    it.status = j.value("status", 0);
+    it.content_type = j.value("content_type", "");
+    it.body = j.contains("body_hex")
+                  ? from_hex(j.at("body_hex").get<std::string>())
+                  : j.value("body", "");
+}
+
+PAPAYAHOOK_JSON(hello, protocol, node, incarnation, zone, caller_address, proof)
+PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving)
+PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
+PAPAYAHOOK_JSON(version_veto, move, started, reason)
+PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
+                caller_address)
+PAPAYAHOOK_JSON(version_counts, answers, bad)
+PAPAYAHOOK_JSON(move_counts, move, node, incarnation, started, stage, from, to)
+PAPAYAHOOK_JSON(news, leaving, vetoes, members, counts)
+PAPAYAHOOK_JSON(config_request, from)
+
+// A variant is an object of its alternative with its name under "type".
+template <class T>
+constexpr char const* type_name = nullptr;
+#define PAPAYAHOOK_NAME(type)                                                  \
+    template <>                                                                \
+    constexpr char const* type_name<type> = #type;
+PAPAYAHOOK_NAME(organisation)
+PAPAYAHOOK_NAME(endpoint)
+PAPAYAHOOK_NAME(route)
+PAPAYAHOOK_NAME(version_move)
+PAPAYAHOOK_NAME(move_step)
+PAPAYAHOOK_NAME(config_snapshot)
+PAPAYAHOOK_NAME(config_record)
+PAPAYAHOOK_NAME(claim_record)
+PAPAYAHOOK_NAME(hello)
+PAPAYAHOOK_NAME(heartbeat)
+PAPAYAHOOK_NAME(news)
+PAPAYAHOOK_NAME(config_request)
+PAPAYAHOOK_NAME(config_records)
+PAPAYAHOOK_NAME(request_arrived)
+PAPAYAHOOK_NAME(caller_gone)
+PAPAYAHOOK_NAME(caller_drained)
+PAPAYAHOOK_NAME(reattach)
+PAPAYAHOOK_NAME(answer_head)
+PAPAYAHOOK_NAME(answer_chunk)
+PAPAYAHOOK_NAME(answer_end)
+PAPAYAHOOK_NAME(call_failed)
+PAPAYAHOOK_NAME(log_read)
+PAPAYAHOOK_NAME(append_done)
+PAPAYAHOOK_NAME(log_reachable)
+PAPAYAHOOK_NAME(peer_opened)
+PAPAYAHOOK_NAME(peer_received)
+PAPAYAHOOK_NAME(peer_closed)
+PAPAYAHOOK_NAME(endpoint_report)
+PAPAYAHOOK_NAME(instance_list)
+PAPAYAHOOK_NAME(shutdown_requested)
+PAPAYAHOOK_NAME(tick)
+PAPAYAHOOK_NAME(refuse)
+PAPAYAHOOK_NAME(dispatch)
+PAPAYAHOOK_NAME(cancel_call)
+PAPAYAHOOK_NAME(pause_call)
+PAPAYAHOOK_NAME(resume_call)
+PAPAYAHOOK_NAME(send_head)
+PAPAYAHOOK_NAME(send_chunk)
+PAPAYAHOOK_NAME(finish_answer)
+PAPAYAHOOK_NAME(fail_answer)
+PAPAYAHOOK_NAME(append)
+PAPAYAHOOK_NAME(send_peer)
+PAPAYAHOOK_NAME(close_peer)
+PAPAYAHOOK_NAME(log_event)
+PAPAYAHOOK_NAME(exit_process)
+
+} // namespace papayahook::core
+
+namespace nlohmann {
+
+template <class... T>
+struct adl_serializer<std::variant<T...>>
+{
+    static void to_json(json& j, std::variant<T...> const& it)
+    {
+        std::visit(
+            [&]<class U>(U const& value) {
+                j = value;
+                if (j.is_null())
+                    j = json::object();
+                j["type"] = papayahook::core::type_name<U>;
+            },
+            it);
+    }
+    static void from_json(json const& j, std::variant<T...>& it)
+    {
+        auto const type = j.at("type").template get<std::string>();
+        bool const known = (read<T>(j, type, it) || ...);
+        if (!known)
+            throw std::invalid_argument("unknown type " + type);
+    }
+
+private:
+    template <class U>
+    static bool read(json const& j, std::string const& type,
+                     std::variant<T...>& it)
+    {
+        if (type != papayahook::core::type_name<U>)
+            return false;
+        it = j.get<U>();
+        return true;
+    }
+};
+
+} // namespace nlohmann
+
+namespace papayahook::core {
+
+// Types without fields.
+#define PAPAYAHOOK_EMPTY(type)                                                 \
+    inline void to_json(nlohmann::json& j, type const&)                        \
+    {                                                                          \
+        j = nlohmann::json::object();                                          \
+    }                                                                          \
+    inline void from_json(nlohmann::json const&, type&) {}
+PAPAYAHOOK_EMPTY(shutdown_requested)
+PAPAYAHOOK_EMPTY(tick)
+PAPAYAHOOK_EMPTY(exit_process)
+
+PAPAYAHOOK_JSON(config_record, id, replaces, remove, body)
+PAPAYAHOOK_JSON(log_entry, at, written, id, record)
+PAPAYAHOOK_JSON(config_records, entries)
+PAPAYAHOOK_JSON(request_arrived, id, key_digest, route, model, keep,
+                idempotency_key, body_digest, schema_version, klass, deadline,
+                prompt_tokens, prefix_blocks)
+PAPAYAHOOK_JSON(caller_gone, id)
+PAPAYAHOOK_JSON(caller_drained, id, index)
+PAPAYAHOOK_JSON(reattach, id, from)
+PAPAYAHOOK_JSON(answer_head, call, status, content_type, not_run, leaving)
+PAPAYAHOOK_JSON(answer_chunk, call, index, data)
+PAPAYAHOOK_JSON(answer_end, call, chunks)
+PAPAYAHOOK_JSON(call_failed, call, where, may_have_run, detail)
+PAPAYAHOOK_JSON(log_read, stream, start, end, entries)
+PAPAYAHOOK_JSON(append_done, append, ok, in_doubt)
+PAPAYAHOOK_JSON(log_reachable, reachable)
+PAPAYAHOOK_JSON(peer_opened, link)
+PAPAYAHOOK_JSON(peer_received, link, message)
+PAPAYAHOOK_JSON(peer_closed, link)
+PAPAYAHOOK_JSON(endpoint_report, endpoint, incarnation, leaving, running,
+                waiting)
+PAPAYAHOOK_JSON(listed_instance, endpoint, incarnation, leaving)
+PAPAYAHOOK_JSON(instance_list, instances)
+PAPAYAHOOK_JSON(event, at, what)
+PAPAYAHOOK_JSON(refuse, id, why)
+PAPAYAHOOK_JSON(dispatch, id, call, endpoint, address, kind, version,
+                resume_chunks, fresh_connection, timeout)
+PAPAYAHOOK_JSON(cancel_call, call)
+PAPAYAHOOK_JSON(pause_call, call)
+PAPAYAHOOK_JSON(resume_call, call)
+PAPAYAHOOK_JSON(send_head, id, status, content_type)
+PAPAYAHOOK_JSON(send_chunk, id, index, data)
+PAPAYAHOOK_JSON(finish_answer, id)
+PAPAYAHOOK_JSON(fail_answer, id, why)
+PAPAYAHOOK_JSON(append, append, stream, id, records)
+PAPAYAHOOK_JSON(send_peer, link, message)
+PAPAYAHOOK_JSON(close_peer, link)
+PAPAYAHOOK_JSON(log_event, number, subject, peer, detail)
+PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
+                max_queue, max_backlog, max_attempts, retry_budget, claim_batch,
+                max_shared_body, max_shared_bytes, hop_cost, prefill_per_token,
+                endpoint_pause, report_horizon, heartbeat_period, peer_timeout,
+                stage_time, move_margin, answer_linger, claim_horizon,
+                append_retry, checkpoint_every, checkpoint_period)
+PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
+                failed_answers, dispatches, retries, resumed_streams,
+                tokens_recomputed, appends, claims, peer_messages)
+PAPAYAHOOK_JSON(decision, at, subject, rule, detail)
+PAPAYAHOOK_JSON(record_verdict, id, at, accepted, reason)
+
+} // namespace papayahook::core
+
+namespace papayahook::codec {
+
+namespace {
+
+using nlohmann::json;
+
+template <class F>
+auto parsed(char const* what, F&& read)
+{
+    try {
+        return read();
+    }
+    catch (std::exception const& e) {
+        throw std::invalid_argument(std::string(what) + ": " + e.what());
+    }
+}
+
+std::string hex(unsigned char const* data, std::size_t n)
+{
+    return core::to_hex({reinterpret_cast<char const*>(data), n});
+}
+
+json move_json(core::move_state const& m)
+{
+    json out =
+        core::move_snapshot{m.spec,   m.from,    m.stage,    m.end,
+                            m.reason, m.started, m.revision, m.stage_since};
+    out["vetoed"] = m.vetoed;
+    out["own_from"] = m.own_from;
+    out["own_to"] = m.own_to;
+    out["offered"] = m.offered;
+    out["sent_to"] = m.sent_to;
+    out["others"] = m.others;
+    return out;
+}
+
+json config_json(core::configuration const& c)
+{
+    json out;
+    out["applied"] = c.applied;
+    out["checkpoint"] = c.checkpoint;
+    for (auto const& [name, it] : c.organisations) {
+        out["organisations"][name] = it;
+        out["organisations"][name]["value"].erase("key_digests");
+    }
+    out["endpoints"] = c.endpoints;
+    out["routes"] = c.routes;
+    for (auto const& [name, m] : c.moves)
+        out["moves"][name] = move_json(m);
+    out["verdicts"] = c.verdicts;
+    return out;
+}
+
+json request_json(core::request_state const& r)
+{
+    return {{"route", r.asked.route},
+            {"organisation", r.organisation},
+            {"class", core::to_string(r.klass)},
+            {"phase", core::to_string(r.phase)},
+            {"endpoint", r.endpoint},
+            {"version", r.version},
+            {"attempts", r.attempts},
+            {"may_have_run", r.may_have_run},
+            {"chunks", r.chunks.size()},
+            {"sent", r.sent},
+            {"deadline", r.deadline}};
+}
+
+json endpoint_json(core::endpoint_state const& e)
+{
+    return {
+        {"in_flight", e.in_flight},       {"reported", e.reported},
+        {"reported_at", e.reported_at},   {"failures", e.failures},
+        {"paused_until", e.paused_until}, {"first_token_us", e.first_token_us},
+        {"prefixes", e.prefixes.size()}};
+}
+
+} // namespace
+
+std::string event_to_line(core::event const& it)
+{
+    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+core::event event_from_line(std::string const& line)
+{
+    return parsed("event",
+                  [&] { return json::parse(line).get<core::event>(); });
+}
+
+std::string effect_to_line(core::effect const& it)
+{
+    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string message_to_cbor(core::peer_message const& it)
+{
+    std::string out;
+    json::to_cbor(json(it), out);
+    return out;
+}
+
+core::peer_message message_from_cbor(std::string const& bytes)
+{
+    return parsed("peer message", [&] {
+        return json::from_cbor(bytes).get<core::peer_message>();
+    });
+}
+
+std::string append_to_json(core::append const& it)
+{
+    json out{{"id", it.id}, {"records", it.records}};
+    return out.dump();
+}
+
+core::log_read read_from_json(std::string const& stream,
+                              std::string const& text)
+{
+    return parsed("log read", [&] {
+        auto const j = json::parse(text);
+        core::log_read out;
+        out.stream = stream;
+        out.start = j.at("start");
+        out.end = j.at("end");
+        for (auto const& it : j.at("records")) {
+            core::log_entry entry;
+            entry.at = it.at("offset");
+            entry.written = core::time_point(
+                std::chrono::milliseconds(it.at("time_ms").get<long>()));
+            entry.id = it.at("id");
+            // A record that this version cannot read keeps its place as one
+            // that changes nothing.
+            try {
+                entry.record = it.at("data").get<decltype(entry.record)>();
+            }
+            catch (std::exception const&) {
+                entry.record = core::config_record{};
+            }
+            out.entries.push_back(std::move(entry));
+        }
+        return out;
+    });
+}
+
+std::string settings_to_line(core::node_settings const& it)
+{
+    return json(it).dump();
+}
+
+core::node_settings settings_from_line(std::string const& line)
+{
+    return parsed("settings",
+                  [&] { return json::parse(line).get<core::node_settings>(); });
+}
+
+std::string config_to_json(core::configuration const& it)
+{
+    return config_json(it).dump(2);
+}
+
+std::string state_to_json(core::node_state const& s)
+{
+    json out;
+    out["node"] = s.settings;
+    out["now"] = s.now;
+    out["leaving"] = s.leaving;
+    out["log_reachable"] = s.log_reachable;
+    out["config"] = config_json(s.config);
+    out["counts"] = s.counts;
+    out["decisions"] = s.decisions;
+    for (auto const& [name, it] : s.endpoints)
+        out["endpoints"][name] = endpoint_json(it);
+    for (auto const& [id, it] : s.requests)
+        out["requests"][id] = request_json(it);
+    for (auto const& [pool, it] : s.queues)
+        out["queues"][pool] = it.size();
+    for (auto const& [link, it] : s.peers)
+        out["peers"].push_back({{"node", it.node},
+                                {"zone", it.zone},
+                                {"heard", it.heard},
+                                {"last", it.last}});
+    out["members"] = s.members;
+    out["leaving_endpoints"] = s.known_leaving;
+    out["organisation_in_flight"] = s.in_flight;
+    out["once"] = {
+        {"applied", s.once.applied},           {"caught_up", s.once.caught_up},
+        {"known_since", s.once.known_since},   {"claims", s.once.claims.size()},
+        {"shared_bytes", s.once.shared_bytes}, {"batch", s.once.batch.size()}};
+    out["appends_open"] = s.appends.size();
+    return out.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
+std::string sha256(std::string const& text)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> out{};
+    SHA256(reinterpret_cast<unsigned char const*>(text.data()), text.size(),
+           out.data());
+    return hex(out.data(), out.size());
+}
+
+std::string keyed_digest(std::string const& key, std::string const& text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> out{};
+    unsigned int n = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+         reinterpret_cast<unsigned char const*>(text.data()), text.size(),
+         out.data(), &n);
+    return hex(out.data(), n);
+}
+
+std::string hello_proof(std::string const& key, core::hello const& it)
+{
+    return keyed_digest(key, std::to_string(it.protocol) + "\n" + it.node +
+                                 "\n" + std::to_string(it.incarnation) + "\n" +
+                                 it.zone + "\n" + it.caller_address);
+}
+
+} // namespace papayahook::codec
--- /dev/null
+++ b/src/codec/json.hpp
@@ -0,0 +1,38 @@
+// JSON (and with it CBOR) for every type of the public header.
+#pragma once
+
+#include "papayahook/papayahook.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+#include <system_error>
+
+namespace papayahook::codec {
+
+// One line of JSON and back; parse errors throw std::invalid_argument with
+// what was wrong. Unknown fields are ignored, missing ones keep defaults.
+std::string event_to_line(core::event const& it);
+core::event event_from_line(std::string const& line);
+std::string effect_to_line(core::effect const& it);
+
+std::string message_to_cbor(core::peer_message const& it);
+core::peer_message message_from_cbor(std::string const& bytes);
+
+// Records as they stand on the log: {"id", "data"} and
+// {"offset", "time_ms", "id", "data"}.
+std::string append_to_json(core::append const& it);
+core::log_read read_from_json(std::string const& stream,
+                              std::string const& text);
+
+std::string settings_to_line(core::node_settings const& it);
+core::node_settings settings_from_line(std::string const& line);
+
+// Whole dump of a node, indented. Holds no keys and no bodies.
+std::string state_to_json(core::node_state const& it);
+std::string config_to_json(core::configuration const& it);
+
+// Hexadecimal SHA-256; keyed: HMAC-SHA-256.
+std::string sha256(std::string const& text);
+std::string keyed_digest(std::string const& key, std::string const& text);
+std::string hello_proof(std::string const& key, core::hello const& it);
+
+} // namespace papayahook::codec
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,188 @@
+// Admission: organisation, limits, deadline; fair queues before the pools.
+#include "core/internal.hpp"
+
+#include <algorithm>
+
+namespace papayahook::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Entries tried behind one that no endpoint can take now; a bound keeps a
+// full pool from costing a walk of its whole queue at every event.
+constexpr int queue_lookahead = 8;
+constexpr auto retry_soon = 1s;
+
+void refuse_arrival(request_arrived const& e, refusal why, node_state& s,
+                    effects& out)
+{
+    s.counts.refused_not_run++;
+    note(out, events::request_refused, e.id, why.peer,
+         std::string(to_string(why.where)) + ": " + why.detail);
+    out.push_back(refuse{e.id, std::move(why)});
+}
+
+// The reason why a request may not enter; nullopt when it may.
+std::optional<refusal> admission_error(node_state& s, request_arrived const& e)
+{
+    auto const refusal_of = [](int status, step where, std::string detail,
+                               std::chrono::seconds retry = 0s) {
+        return refusal{status, outcome::not_run,  where,
+                       "",     std::move(detail), retry};
+    };
+    if (s.leaving)
+        return refusal_of(503, step::shutdown, "this node is leaving",
+                          retry_soon);
+    if (s.config.applied == 0)
+        return refusal_of(503, step::admit, "no configuration read yet",
+                          retry_soon);
+    auto const org = s.config.organisation_by_key.find(e.key_digest);
+    if (org == s.config.organisation_by_key.end())
+        return refusal_of(401, step::authenticate, "unknown caller key");
+    if (!s.config.routes.contains(e.route))
+        return refusal_of(404, step::admit, "no such route");
+    auto const& limits = s.config.organisations.at(org->second).value;
+    if (s.in_flight[org->second] >= limits.max_in_flight)
+        return refusal_of(429, step::admit,
+                          "the organisation's limit is reached", retry_soon);
+    auto const& it = s.config.routes.at(e.route).value;
+    auto const queue = s.queues.find(it.pool);
+    bool const full =
+        queue != s.queues.end() &&
+        queue->second.size() >= static_cast<std::size_t>(s.settings.max_queue);
+    if (full)
+        return refusal_of(503, step::queue, "the queue is full", retry_soon);
+    return std::nullopt;
+}
+
+std::string pool_of(node_state const& s, request_state const& r)
+{
+    auto const it = s.config.routes.find(r.asked.route);
+    return it == s.config.routes.end() ? std::string{} : it->second.value.pool;
+}
+
+// Starts the request when an endpoint has room for it.
+bool try_start(node_state& s, request_state& r, effects& out)
+{
+    auto const& it = s.config.routes.at(r.asked.route).value;
+    auto const version = pick_version(s, r, it);
+    auto const endpoint = choose_endpoint(s, r, version);
+    if (endpoint.empty())
+        return false;
+    start_call(s, r, endpoint, version, out);
+    return true;
+}
+
+void drain_queue(node_state& s, request_queue& queue, effects& out)
+{
+    int skipped = 0;
+    for (auto it = queue.begin(); it != queue.end();) {
+        auto const [klass, tag, id] = *it;
+        auto* const r = find_request(s, id);
+        if (r == nullptr || r->phase != request_phase::queued ||
+            !s.config.routes.contains(r->asked.route)) {
+            it = queue.erase(it);
+            continue;
+        }
+        auto const next = std::next(it);
+        if (try_start(s, *r, out)) {
+            s.fair_now = std::max(s.fair_now, tag);
+            queue.erase(it);
+        }
+        else if (++skipped >= queue_lookahead) {
+            return;
+        }
+        it = next;
+    }
+}
+
+} // namespace
+
+void on_request(node_state& s, request_arrived const& e, effects& out)
+{
+    s.counts.requests++;
+    if (s.requests.contains(e.id))
+        return;
+    if (auto why = admission_error(s, e)) {
+        refuse_arrival(e, std::move(*why), s, out);
+        return;
+    }
+    auto const& it = s.config.routes.at(e.route).value;
+    request_state r;
+    r.asked = e;
+    r.organisation = s.config.organisation_by_key.at(e.key_digest);
+    r.klass = e.klass.value_or(it.klass);
+    r.repeatable = it.repeatable && e.idempotency_key.empty();
+    r.arrived = s.now;
+    r.deadline =
+        s.now + std::min(e.deadline.value_or(it.deadline), it.deadline);
+    s.in_flight[r.organisation]++;
+    auto& kept = s.requests[e.id] = std::move(r);
+    if (!kept.repeatable && !e.idempotency_key.empty())
+        start_claim(s, kept, out);
+    else
+        enqueue(s, kept, out);
+}
+
+// Start-time fair queueing: a request's tag is its organisation's virtual
+// time, which advances by the request's cost over the organisation's weight.
+void enqueue(node_state& s, request_state& r, effects& out)
+{
+    auto const org = s.config.organisations.find(r.organisation);
+    double const weight =
+        org == s.config.organisations.end() ? 1.0 : org->second.value.weight;
+    if (r.attempts == 0) {
+        auto& tag = s.fair_tag[r.organisation];
+        r.tag = std::max(s.fair_now, tag);
+        tag = r.tag + (1.0 + r.asked.prompt_tokens / 1000.0) / weight;
+    }
+    r.phase = request_phase::queued;
+    auto& queue = s.queues[pool_of(s, r)];
+    queue.emplace(r.klass, r.tag, r.asked.id);
+    drain_queue(s, queue, out);
+}
+
+void leave_queue(node_state& s, request_state const& r)
+{
+    auto const it = s.queues.find(pool_of(s, r));
+    if (it != s.queues.end())
+        it->second.erase({r.klass, r.tag, r.asked.id});
+}
+
+void drain_queues(node_state& s, effects& out)
+{
+    for (auto& [pool, queue] : s.queues)
+        drain_queue(s, queue, out);
+}
+
+void expire_requests(node_state& s, effects& out)
+{
+    std::vector<request_id> late;
+    for (auto const& [id, r] : s.requests) {
+        bool const waits = r.phase != request_phase::answering &&
+                           r.phase != request_phase::done;
+        if (waits && r.deadline <= s.now)
+            late.push_back(id);
+    }
+    std::ranges::sort(late); // same order on every run and replay
+    for (auto const& id : late) {
+        auto& r = s.requests.at(id);
+        refusal why{504,        outcome::not_run,          step::queue,
+                    r.endpoint, "the deadline has passed", 0s};
+        if (r.phase == request_phase::claiming)
+            why.where = step::claim;
+        if (r.phase == request_phase::following)
+            why = {504,
+                   outcome::outcome_unknown,
+                   step::claim,
+                   "",
+                   "another request with this key has not ended",
+                   0s};
+        if (r.phase == request_phase::calling)
+            why.where = step::receive;
+        refuse_request(s, r, why, out);
+    }
+}
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/core/internal.hpp
@@ -0,0 +1,122 @@
+// Functions that the core's sources share; not part of the public header.
+#pragma once
+
+#include "papayahook/papayahook.hpp"
+
+namespace papayahook::core {
+
+// admission.cpp: who may enter, who waits, who is next
+void on_request(node_state& s, request_arrived const& e, effects& out);
+void enqueue(node_state& s, request_state& r, effects& out);
+void drain_queues(node_state& s, effects& out);
+void leave_queue(node_state& s, request_state const& r);
+void expire_requests(node_state& s, effects& out);
+
+// routing.cpp: which endpoint
+bool is_leaving(node_state const& s, endpoint const& e);
+std::string choose_endpoint(node_state& s, request_state const& r,
+                            std::string const& version);
+bool has_endpoint(node_state const& s, std::string const& pool,
+                  std::string const& version, std::string const& schema);
+void note_prefixes(node_state& s, request_state const& r);
+void on_report(node_state& s, endpoint_report const& e, effects& out);
+void on_instance_list(node_state& s, instance_list const& e, effects& out);
+bool learn_leaving(node_state& s, endpoint_leaving const& e, effects& out);
+
+// streams.cpp: from dispatch to the last byte
+void start_call(node_state& s, request_state& r, std::string const& endpoint,
+                std::string const& version, effects& out);
+void on_head(node_state& s, answer_head const& e, effects& out);
+void on_chunk(node_state& s, answer_chunk const& e, effects& out);
+void on_end(node_state& s, answer_end const& e, effects& out);
+void on_failed(node_state& s, call_failed const& e, effects& out);
+void on_gone(node_state& s, caller_gone const& e, effects& out);
+void on_drained(node_state& s, caller_drained const& e, effects& out);
+void on_reattach(node_state& s, reattach const& e, effects& out);
+void refuse_request(node_state& s, request_state& r, refusal why, effects& out);
+void give_stored_answer(node_state& s, request_state& r,
+                        claim_state const& claim, effects& out);
+void check_progress(node_state& s, effects& out);
+
+// once.cpp: claims
+void start_claim(node_state& s, request_state& r, effects& out);
+void record_outcome(node_state& s, request_state& r, claim_kind kind,
+                    effects& out);
+void apply_claim(node_state& s, log_entry const& entry, effects& out);
+void drop_unsent_claim(node_state& s, request_state const& r);
+void flush_claims(node_state& s, effects& out);
+void expire_claims(node_state& s);
+void on_claims_read(node_state& s, log_read const& e, effects& out);
+
+// config.cpp
+void on_config_read(node_state& s, log_read const& e, effects& out);
+void apply_entries(node_state& s, std::vector<log_entry> const& entries,
+                   effects& out);
+void on_snapshot(node_state& s, config_snapshot const& e, effects& out);
+void write_checkpoint(node_state& s, effects& out);
+
+// moves.cpp
+std::string pick_version(node_state& s, request_state& r, route const& it);
+void count_answer(node_state& s, request_state const& r, bool bad);
+void note_first_token(node_state& s, request_state const& r,
+                      duration first_token);
+bool is_slow(node_state const& s, request_state const& r, duration first_token);
+void evaluate_moves(node_state& s, effects& out);
+bool learn_veto(node_state& s, version_veto const& e, effects& out);
+bool learn_counts(node_state& s, move_counts const& e);
+std::vector<move_counts> own_counts(node_state const& s);
+
+// members.cpp
+void on_peer_opened(node_state& s, peer_opened const& e, effects& out);
+void on_peer_message(node_state& s, peer_received const& e, effects& out);
+void on_peer_closed(node_state& s, peer_closed const& e, effects& out);
+void send_heartbeats(node_state& s, effects& out);
+void check_peers(node_state& s, effects& out);
+void spread(node_state& s, news const& what, std::uint64_t except,
+            effects& out);
+// Position of this node for a duty among live members; 0 holds it.
+int duty_rank(node_state const& s, std::string const& duty);
+
+// reduce.cpp
+request_state* find_request(node_state& s, request_id const& id);
+request_state* request_of_call(node_state& s, call_id call);
+void note(effects& out, int number, std::string subject, std::string peer,
+          std::string detail);
+void remember(node_state& s, std::string subject, std::string rule,
+              std::string detail);
+std::uint64_t
+append_records(node_state& s, std::string stream,
+               std::vector<std::variant<config_record, claim_record>> records,
+               effects& out);
+std::string next_record_id(node_state& s);
+
+// Numbered events: see docs/EVENTS.md, checked in CI.
+namespace events {
+inline constexpr int node_leaving = 102;
+inline constexpr int config_in_force = 201;
+inline constexpr int config_refused = 202;
+inline constexpr int config_gap = 203;
+inline constexpr int snapshot_installed = 204;
+inline constexpr int checkpoint_asked = 205;
+inline constexpr int log_lost = 301;
+inline constexpr int log_back = 302;
+inline constexpr int append_in_doubt = 303;
+inline constexpr int claims_gap = 304;
+inline constexpr int request_refused = 401;
+inline constexpr int call_failed = 402;
+inline constexpr int request_retried = 403;
+inline constexpr int answer_failed = 404;
+inline constexpr int connection_silent = 405;
+inline constexpr int outcome_unknown = 406;
+inline constexpr int endpoint_leaving = 501;
+inline constexpr int endpoint_paused = 502;
+inline constexpr int peer_up = 601;
+inline constexpr int peer_down = 602;
+inline constexpr int peer_refused = 603;
+inline constexpr int member_changed = 604;
+inline constexpr int move_stage = 701;
+inline constexpr int move_vetoed = 702;
+inline constexpr int move_ended = 703;
+} // namespace events
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/core/moves.cpp
@@ -0,0 +1,285 @@
+// Version moves: shares by stage, evidence, veto, deadline.
+#include "core/internal.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayahook::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Error rates of the sequential test: a good version is vetoed in one stage
+// of a thousand, a bad one passes a stage in one of fifty.
+constexpr double false_veto = 0.001;
+constexpr double false_pass = 0.02;
+constexpr double least_bad_rate = 0.02; // assumed of the old version
+constexpr double baseline_step = 0.1;
+constexpr double slow_floor_us = 5'000; // below this nothing counts as slow
+constexpr auto step_patience = 500ms;   // per rank before the next one asks
+constexpr auto step_repeat = 3s;
+constexpr double stages_in_time = 8; // a stage lasts this part of the time
+constexpr auto longest_stage = 600s;
+
+enum class verdict
+{
+    open,
+    good,
+    bad,
+};
+
+version_counts sum_of(move_state const& m, bool new_version)
+{
+    auto out = new_version ? m.own_to : m.own_from;
+    for (auto const& [node, it] : m.others) {
+        auto const& add = new_version ? it.to : it.from;
+        out.answers += add.answers;
+        out.bad += add.bad;
+    }
+    return out;
+}
+
+// Sequential probability ratio test of "as good as the old version" against
+// "worse by max_bad_excess".
+verdict judge(move_state const& m)
+{
+    auto const from = sum_of(m, false);
+    auto const to = sum_of(m, true);
+    double const old_rate = (static_cast<double>(from.bad) + 1) /
+                            (static_cast<double>(from.answers) + 20);
+    double const p0 = std::clamp(old_rate, least_bad_rate, 0.5);
+    double const p1 = std::min(0.95, p0 + m.spec.max_bad_excess);
+    auto const bad = static_cast<double>(to.bad);
+    auto const good = static_cast<double>(to.answers) - bad;
+    double const ratio =
+        bad * std::log(p1 / p0) + good * std::log((1 - p1) / (1 - p0));
+    if (ratio >= std::log((1 - false_pass) / false_veto))
+        return verdict::bad;
+    bool const enough =
+        to.answers >= static_cast<std::uint64_t>(m.spec.min_samples);
+    if (enough && ratio <= std::log(false_pass / (1 - false_veto)))
+        return verdict::good;
+    return verdict::open;
+}
+
+bool is_late(node_state const& s, move_state const& m)
+{
+    return s.now + s.settings.move_margin >= m.spec.deadline;
+}
+
+// Stages last longer where the deadline allows it, so that a version that
+// turns bad only later is still seen.
+duration stage_length(node_state const& s, move_state const& m)
+{
+    auto const left = m.spec.deadline - m.stage_since;
+    auto const part = std::chrono::duration_cast<duration>(
+        left / static_cast<int>(stages_in_time));
+    return std::clamp(part, duration(s.settings.stage_time),
+                      duration(longest_stage));
+}
+
+void ask_step(node_state& s, move_state& m, move_step step, effects& out)
+{
+    if (m.step_due_since == time_point{})
+        m.step_due_since = s.now;
+    auto const wait = duty_rank(s, "move/" + m.spec.name) * step_patience;
+    if (s.now < m.step_due_since + wait)
+        return;
+    bool const asked = m.step_asked_at != time_point{} &&
+                       s.now < m.step_asked_at + step_repeat;
+    if (asked || !s.log_reachable)
+        return;
+    m.step_asked_at = s.now;
+    step.move = m.spec.name;
+    step.node = s.settings.name;
+    remember(s, m.spec.name, "move.ask_step", step.reason);
+    config_record rec;
+    rec.replaces = m.revision;
+    rec.body = std::move(step);
+    rec.id = next_record_id(s);
+    append_records(s, "config", {std::move(rec)}, out);
+}
+
+std::string evidence(move_state const& m)
+{
+    auto const show = [](version_counts const& it) {
+        return std::to_string(it.bad) + " bad of " + std::to_string(it.answers);
+    };
+    return "new " + show(sum_of(m, true)) + ", old " + show(sum_of(m, false));
+}
+
+void evaluate(node_state& s, move_state& m, effects& out)
+{
+    move_step step;
+    step.stage = m.stage;
+    auto const found = judge(m);
+    if (found == verdict::bad && !m.vetoed)
+        learn_veto(s, {m.spec.name, m.started, evidence(m)}, out);
+    auto const veto = s.vetoes.find({m.spec.name, m.started});
+    m.vetoed = veto != s.vetoes.end();
+    if (m.vetoed) {
+        step.end = move_end::taken_back;
+        step.reason = "bad: " + veto->second;
+    }
+    else if (is_late(s, m)) {
+        step.end = move_end::taken_back;
+        step.reason = "not shown good by the deadline: " + evidence(m);
+    }
+    else if (found == verdict::good &&
+             s.now >= m.stage_since + stage_length(s, m)) {
+        step.reason = "good: " + evidence(m);
+        if (m.stage == last_stage)
+            step.end = move_end::finished;
+        else
+            step.stage = m.stage + 1;
+    }
+    else {
+        m.step_due_since = {};
+        return;
+    }
+    ask_step(s, m, std::move(step), out);
+}
+
+move_state* open_move(node_state& s, std::string const& route)
+{
+    auto const it = std::ranges::find_if(s.config.moves, [&](auto const& m) {
+        return m.second.spec.route == route && !m.second.end;
+    });
+    return it == s.config.moves.end() ? nullptr : &it->second;
+}
+
+move_state* move_of(node_state& s, request_state const& r)
+{
+    auto const it = s.config.moves.find(r.move);
+    bool const open = it != s.config.moves.end() && !it->second.end;
+    return open ? &it->second : nullptr;
+}
+
+double share_of(node_state const& s, move_state const& m)
+{
+    if (m.vetoed || is_late(s, m))
+        return 0;
+    return m.stage == 0 ? m.spec.canary_share : stage_shares[m.stage];
+}
+
+} // namespace
+
+// The share is counted out, not drawn: no node ever exceeds it, so neither
+// does the sum over all nodes.
+std::string pick_version(node_state& s, request_state& r, route const& it)
+{
+    if (!r.version.empty())
+        return r.version;
+    auto* const m = open_move(s, it.name);
+    if (m == nullptr)
+        return it.version;
+    auto const& schema = r.asked.schema_version;
+    bool const old_takes = has_endpoint(s, it.pool, m->from, schema);
+    bool const new_takes = has_endpoint(s, it.pool, m->spec.to, schema);
+    bool const first_offer = r.move.empty();
+    r.move = m->spec.name;
+    if (first_offer)
+        m->offered++;
+    bool const failed_before = !r.tried.empty();
+    double const allowed = share_of(s, *m) * static_cast<double>(m->offered);
+    bool const in_share = static_cast<double>(m->sent_to) + 1 <= allowed;
+    r.counts_new = new_takes && in_share && !failed_before;
+#if PAPAYAHOOK_MUTATION_NO_CANARY_BOUND
+    r.counts_new = new_takes && !failed_before;
+#endif
+    (void)old_takes;
+    return r.counts_new ? m->spec.to : m->from;
+}
+
+void note_first_token(node_state& s, request_state const& r,
+                      duration first_token)
+{
+    auto const us = static_cast<double>(first_token.count());
+    auto& mean = s.endpoints[r.endpoint].first_token_us;
+    mean = mean == 0 ? us : mean + baseline_step * (us - mean);
+    auto* const m = move_of(s, r);
+    if (m == nullptr || r.counts_new)
+        return;
+    auto& base = m->baseline_us;
+    base = base == 0 ? us : base + baseline_step * (us - base);
+}
+
+bool is_slow(node_state const& s, request_state const& r, duration first_token)
+{
+    auto const it = s.config.moves.find(r.move);
+    if (it == s.config.moves.end() || it->second.baseline_us == 0)
+        return false;
+    double const limit =
+        std::max(slow_floor_us,
+                 it->second.baseline_us * it->second.spec.max_latency_ratio);
+    return static_cast<double>(first_token.count()) > limit;
+}
+
+void count_answer(node_state& s, request_state const& r, bool bad)
+{
+    auto* const m = move_of(s, r);
+    if (m == nullptr)
+        return;
+    auto& counts = r.counts_new ? m->own_to : m->own_from;
+    counts.answers++;
+    if (bad || r.slow)
+        counts.bad++;
+    // Strong harm must not wait for the next tick.
+    if (bad && r.counts_new && judge(*m) == verdict::bad)
+        m->step_due_since = {};
+}
+
+void evaluate_moves(node_state& s, effects& out)
+{
+    for (auto& [name, m] : s.config.moves)
+        if (!m.end)
+            evaluate(s, m, out);
+}
+
+bool learn_veto(node_state& s, version_veto const& e, effects& out)
+{
+    if (!s.vetoes.emplace(std::pair(e.move, e.started), e.reason).second)
+        return false;
+    auto const it = s.config.moves.find(e.move);
+    if (it != s.config.moves.end() && it->second.started == e.started)
+        it->second.vetoed = true;
+    remember(s, e.move, "move.veto", e.reason);
+    note(out, events::move_vetoed, e.move, "", e.reason);
+    news item;
+    item.vetoes.push_back(e);
+    spread(s, item, 0, out);
+    return true;
+}
+
+bool learn_counts(node_state& s, move_counts const& e)
+{
+    auto const it = s.config.moves.find(e.move);
+    if (it == s.config.moves.end() || it->second.end ||
+        it->second.started != e.started || it->second.stage != e.stage ||
+        e.node == s.settings.name)
+        return false;
+    auto& known = it->second.others[e.node];
+    bool const newer =
+        e.incarnation > known.incarnation ||
+        (e.incarnation == known.incarnation &&
+         e.from.answers + e.to.answers > known.from.answers + known.to.answers);
+    if (newer)
+        known = e;
+    return newer;
+}
+
+std::vector<move_counts> own_counts(node_state const& s)
+{
+    std::vector<move_counts> out;
+    for (auto const& [name, m] : s.config.moves) {
+        bool const any = m.own_from.answers + m.own_to.answers != 0;
+        if (m.end || !any)
+            continue;
+        out.push_back({name, s.settings.name, s.settings.incarnation, m.started,
+                       m.stage, m.own_from, m.own_to});
+    }
+    return out;
+}
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/core/once.cpp
@@ -0,0 +1,319 @@
+// Requests that may run at most once: claims on the platform's log.
+//
+// The first claim of a key by offset wins, and only its writer ever
+// dispatches; nobody takes a claim over. So a node that was frozen, or whose
+// append took effect after its answer was lost, can do no harm: either it
+// holds the claim alone, or its records are ignored by every reader alike.
+#include "core/internal.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace papayahook::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto retry_soon = 1s;
+
+// Time stamped into a UUID of version 7 (RFC 9562); nullopt for other keys.
+std::optional<time_point> key_time(std::string const& key)
+{
+    constexpr std::size_t uuid_length = 36;
+    bool const looks_right = key.size() == uuid_length && key[8] == '-' &&
+                             key[13] == '-' && key[14] == '7';
+    if (!looks_right)
+        return std::nullopt;
+    auto const digits = key.substr(0, 8) + key.substr(9, 4);
+    std::uint64_t ms = 0;
+    auto const [end, ec] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), ms, 16);
+    if (ec != std::errc{} || end != digits.data() + digits.size())
+        return std::nullopt;
+    return time_point(std::chrono::milliseconds(ms));
+}
+
+refusal claim_refusal(int status, outcome what, std::string detail,
+                      std::chrono::seconds retry = 0s)
+{
+    return {status, what, step::claim, "log", std::move(detail), retry};
+}
+
+// Joins a request to what is known of its key.
+void follow(node_state& s, request_state& r, claim_state& claim, effects& out)
+{
+    if (claim.body_digest != r.asked.body_digest) {
+        r.claim_key.clear();
+        refuse_request(s, r,
+                       claim_refusal(422, outcome::not_run,
+                                     "the key was used with another body"),
+                       out);
+        return;
+    }
+    r.phase = request_phase::following;
+    if (claim.kind == claim_kind::claim) {
+        claim.followers.push_back(r.asked.id);
+        return;
+    }
+    bool const body_held =
+        claim.kind == claim_kind::answered && (claim.status != 0);
+    if (body_held) {
+        give_stored_answer(s, r, claim, out);
+        return;
+    }
+    refuse_request(s, r,
+                   claim_refusal(409, outcome::outcome_unknown,
+                                 "a request with this key may have run; its "
+                                 "answer is not held"),
+                   out);
+}
+
+void wake_followers(node_state& s, std::string const& key, effects& out)
+{
+    auto waiting = std::move(s.once.claims.at(key).followers);
+    s.once.claims.at(key).followers.clear();
+    for (auto const& id : waiting) {
+        auto* const r = find_request(s, id);
+        if (r == nullptr || r->phase != request_phase::following)
+            continue;
+        if (s.once.claims.at(key).kind == claim_kind::released)
+            start_claim(s, *r, out);
+        else
+            follow(s, *r, s.once.claims.at(key), out);
+    }
+}
+
+// A body that is not held any more makes the answer unknown to later callers
+// of the key; status 0 marks that.
+void drop_body(once_state& once, claim_state& claim)
+{
+    once.shared_bytes -= claim.body.size();
+    claim.body.clear();
+    claim.status = 0;
+}
+
+void apply_outcome(node_state& s, claim_record const& rec, effects& out)
+{
+    auto const it = s.once.claims.find(rec.key);
+    if (it == s.once.claims.end() || it->second.request != rec.request ||
+        it->second.kind != claim_kind::claim)
+        return;
+    auto& claim = it->second;
+    claim.kind = rec.kind;
+    claim.status = rec.status;
+    claim.content_type = rec.content_type;
+    claim.body = rec.body;
+    s.once.shared_bytes += rec.body.size();
+    wake_followers(s, rec.key, out);
+}
+
+void release(node_state& s, claim_record const& rec, effects& out)
+{
+    auto it = rec;
+    it.kind = claim_kind::released;
+    s.once.batch.push_back(std::move(it));
+    flush_claims(s, out);
+}
+
+// The claim of `rec` holds from now on: its writer may dispatch.
+void win(node_state& s, claim_record const& rec, effects& out)
+{
+    if (!rec.request.starts_with(s.settings.name + "." +
+                                 std::to_string(s.settings.incarnation) + "."))
+        return;
+    auto* const r = find_request(s, rec.request);
+    if (r == nullptr || r->phase == request_phase::done) {
+        // Its caller was told "not run" while the append was in doubt.
+        release(s, rec, out);
+        return;
+    }
+    if (r->phase == request_phase::claiming)
+        enqueue(s, *r, out);
+}
+
+// Another request holds the key: the writer of `rec` waits for its answer.
+void lose(node_state& s, claim_record const& rec, claim_state& claim,
+          effects& out)
+{
+    auto* const r = find_request(s, rec.request);
+    if (r != nullptr && r->phase == request_phase::claiming) {
+        remember(s, rec.request, "claim.lost", claim.request);
+#if PAPAYAHOOK_MUTATION_LOSER_DISPATCHES
+        enqueue(s, *r, out);
+        return;
+#endif
+        follow(s, *r, claim, out);
+    }
+}
+
+bool key_too_old(node_state const& s, request_state const& r)
+{
+    auto const made = key_time(r.asked.idempotency_key);
+    if (!made)
+        return false;
+    auto const oldest = std::max(s.once.known_since,
+                                 s.now - duration(s.settings.claim_horizon));
+    return *made < oldest;
+}
+
+} // namespace
+
+void start_claim(node_state& s, request_state& r, effects& out)
+{
+    // The organisation stands in clear, so that no two of them can ever
+    // meet on one key.
+    auto const key = r.organisation + ":" +
+                     digest_of(r.asked.route + "\n" + r.asked.idempotency_key);
+    auto const found = s.once.claims.find(key);
+    bool const held = found != s.once.claims.end() &&
+                      found->second.kind != claim_kind::released;
+    if (held) {
+        r.claim_key = key;
+        follow(s, r, found->second, out);
+        return;
+    }
+    if (!s.log_reachable || !s.once.caught_up) {
+        refuse_request(s, r,
+                       claim_refusal(503, outcome::not_run,
+                                     "the log cannot be used now", retry_soon),
+                       out);
+        return;
+    }
+    if (key_too_old(s, r)) {
+        refuse_request(s, r,
+                       claim_refusal(409, outcome::outcome_unknown,
+                                     "the key is older than the claims that "
+                                     "are known"),
+                       out);
+        return;
+    }
+    r.claim_key = key;
+    r.phase = request_phase::claiming;
+    s.counts.claims++;
+#if PAPAYAHOOK_MUTATION_NO_CLAIMS
+    enqueue(s, r, out);
+    return;
+#endif
+    s.once.batch.push_back(
+        {claim_kind::claim, key, r.asked.id, r.asked.body_digest, 0, "", ""});
+    flush_claims(s, out);
+}
+
+void record_outcome(node_state& s, request_state& r, claim_kind kind,
+                    effects& out)
+{
+    auto const it = s.once.claims.find(r.claim_key);
+    bool const holder =
+        it != s.once.claims.end() && it->second.request == r.asked.id;
+    if (!holder)
+        return; // its claim was not read back; win() settles it if it comes
+    claim_record rec{kind, r.claim_key, r.asked.id, r.asked.body_digest,
+                     0,    "",          ""};
+    if (kind == claim_kind::answered) {
+        for (auto const& chunk : r.chunks)
+            rec.body += chunk;
+        rec.status = r.status;
+        rec.content_type = r.content_type;
+        if (rec.body.size() > s.settings.max_shared_body) {
+            rec.body.clear();
+            rec.status = 0;
+        }
+    }
+    s.once.batch.push_back(std::move(rec));
+    flush_claims(s, out);
+}
+
+void drop_unsent_claim(node_state& s, request_state const& r)
+{
+    std::erase_if(s.once.batch, [&](claim_record const& it) {
+        return it.request == r.asked.id && it.kind == claim_kind::claim;
+    });
+}
+
+// Group commit: one append in flight, the next carries all that came since.
+void flush_claims(node_state& s, effects& out)
+{
+    auto& once = s.once;
+    if (once.append_open != 0 || once.batch.empty())
+        return;
+    auto const n = std::min(once.batch.size(),
+                            static_cast<std::size_t>(s.settings.claim_batch));
+    auto const last = once.batch.begin() + static_cast<std::ptrdiff_t>(n);
+    std::vector<std::variant<config_record, claim_record>> records(
+        std::make_move_iterator(once.batch.begin()),
+        std::make_move_iterator(last));
+    once.batch.erase(once.batch.begin(), last);
+    once.append_open = append_records(s, "claims", std::move(records), out);
+}
+
+void apply_claim(node_state& s, log_entry const& entry, effects& out)
+{
+    if (entry.at <= s.once.applied)
+        return;
+    s.once.applied = entry.at;
+    auto const* const rec = std::get_if<claim_record>(&entry.record);
+    if (rec == nullptr)
+        return;
+    if (rec->kind != claim_kind::claim) {
+        apply_outcome(s, *rec, out);
+        return;
+    }
+    auto& claim = s.once.claims[rec->key];
+    bool const is_free = claim.at == 0 || claim.kind == claim_kind::released;
+    if (!is_free && claim.request != rec->request) {
+        lose(s, *rec, claim, out);
+        return;
+    }
+    if (!is_free)
+        return; // a repeated append of the same claim
+    claim.at = entry.at;
+    claim.request = rec->request;
+    claim.body_digest = rec->body_digest;
+    claim.written = entry.written;
+    claim.kind = claim_kind::claim;
+    s.once.by_age.emplace_back(entry.written, rec->key);
+    win(s, *rec, out);
+}
+
+void on_claims_read(node_state& s, log_read const& e, effects& out)
+{
+    if (e.start > s.once.applied + 1) {
+        // Records have left the log unseen: older keys cannot be judged.
+        note(out, events::claims_gap, "claims", "log",
+             std::to_string(s.once.applied) + " to " + std::to_string(e.start));
+        s.once.applied = e.start - 1;
+        s.once.known_since =
+            e.entries.empty() ? s.now : e.entries.front().written;
+    }
+    for (auto const& it : e.entries)
+        apply_claim(s, it, out);
+    // An end that is older than what was applied comes from a log that
+    // answers with an old view; it takes nothing back.
+    if (s.once.applied >= e.end)
+        s.once.caught_up = true;
+}
+
+void expire_claims(node_state& s)
+{
+    auto& once = s.once;
+    auto const oldest = s.now - duration(s.settings.claim_horizon);
+    while (!once.by_age.empty() && once.by_age.front().first < oldest) {
+        auto const [written, key] = once.by_age.front();
+        once.by_age.pop_front();
+        auto const it = once.claims.find(key);
+        if (it == once.claims.end() || it->second.written != written)
+            continue;
+        drop_body(once, it->second);
+        once.claims.erase(it);
+    }
+    for (auto const& [written, key] : once.by_age) {
+        if (once.shared_bytes <= s.settings.max_shared_bytes)
+            break;
+        auto const it = once.claims.find(key);
+        if (it != once.claims.end() && it->second.status != 0)
+            drop_body(once, it->second);
+    }
+}
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/core/reduce.cpp
@@ -0,0 +1,257 @@
+// The one reducer: routes each event to the subsystem that owns it.
+#include "core/internal.hpp"
+
+#include <algorithm>
+#include <array>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace papayahook::core {
+
+namespace {
+
+constexpr std::size_t max_decisions = 512;
+
+template <class... F>
+struct overloaded : F...
+{
+    using F::operator()...;
+};
+template <class... F>
+overloaded(F...) -> overloaded<F...>;
+
+void on_append_done(node_state& s, append_done const& e, effects& out)
+{
+    auto const it = s.appends.find(e.append);
+    if (it == s.appends.end())
+        return;
+    if (e.ok) {
+        bool const claims = s.once.append_open == e.append;
+        s.appends.erase(it);
+        if (claims)
+            s.once.append_open = 0;
+        flush_claims(s, out);
+        return;
+    }
+    if (e.in_doubt)
+        note(out, events::append_in_doubt, it->second.what.id, "log",
+             it->second.what.stream);
+    // Every record folds to the same state however often it stands on the
+    // log, so repeating is safe whether or not this append took effect.
+    it->second.in_flight = false;
+    it->second.retry_at = s.now + s.settings.append_retry;
+}
+
+void retry_appends(node_state& s, effects& out)
+{
+    for (auto& [number, it] : s.appends) {
+        if (it.in_flight || it.retry_at > s.now)
+            continue;
+        it.in_flight = true;
+        out.push_back(it.what);
+    }
+}
+
+void on_log_reachable(node_state& s, log_reachable const& e, effects& out)
+{
+    if (s.log_reachable == e.reachable)
+        return;
+    s.log_reachable = e.reachable;
+    note(out, e.reachable ? events::log_back : events::log_lost, "log", "", "");
+}
+
+void on_log_read(node_state& s, log_read const& e, effects& out)
+{
+    if (e.stream == "config")
+        on_config_read(s, e, out);
+    else if (e.stream == "claims")
+        on_claims_read(s, e, out);
+}
+
+void on_shutdown(node_state& s, effects& out)
+{
+    if (s.leaving)
+        return;
+    s.leaving = true;
+    note(out, events::node_leaving, s.settings.name, "", "shutdown requested");
+    s.heartbeat_at = {};
+    send_heartbeats(s, out);
+}
+
+void end_when_idle(node_state& s, effects& out)
+{
+    bool const open = std::ranges::any_of(s.requests, [](auto const& it) {
+        return it.second.phase != request_phase::done;
+    });
+    if (s.leaving && !open && s.appends.empty() && s.once.batch.empty())
+        out.push_back(exit_process{});
+}
+
+void forget_old_answers(node_state& s)
+{
+    std::erase_if(s.requests, [&](auto const& it) {
+        auto const& r = it.second;
+        return r.phase == request_phase::done &&
+               r.ended + s.settings.answer_linger <= s.now;
+    });
+}
+
+void on_tick(node_state& s, effects& out)
+{
+    expire_requests(s, out);
+    check_progress(s, out);
+    retry_appends(s, out);
+    flush_claims(s, out);
+    expire_claims(s);
+    check_peers(s, out);
+    evaluate_moves(s, out);
+    write_checkpoint(s, out);
+    send_heartbeats(s, out);
+    forget_old_answers(s);
+    drain_queues(s, out);
+    end_when_idle(s, out);
+}
+
+} // namespace
+
+void reduce(node_state& s, event const& e, effects& out)
+{
+    s.now = std::max(s.now, e.at);
+    std::visit(
+        overloaded{
+            [&](request_arrived const& it) { on_request(s, it, out); },
+            [&](caller_gone const& it) { on_gone(s, it, out); },
+            [&](caller_drained const& it) { on_drained(s, it, out); },
+            [&](reattach const& it) { on_reattach(s, it, out); },
+            [&](answer_head const& it) { on_head(s, it, out); },
+            [&](answer_chunk const& it) { on_chunk(s, it, out); },
+            [&](answer_end const& it) { on_end(s, it, out); },
+            [&](call_failed const& it) { on_failed(s, it, out); },
+            [&](log_read const& it) { on_log_read(s, it, out); },
+            [&](append_done const& it) { on_append_done(s, it, out); },
+            [&](log_reachable const& it) { on_log_reachable(s, it, out); },
+            [&](peer_opened const& it) { on_peer_opened(s, it, out); },
+            [&](peer_received const& it) { on_peer_message(s, it, out); },
+            [&](peer_closed const& it) { on_peer_closed(s, it, out); },
+            [&](endpoint_report const& it) { on_report(s, it, out); },
+            [&](instance_list const& it) { on_instance_list(s, it, out); },
+            [&](shutdown_requested const&) { on_shutdown(s, out); },
+            [&](tick const&) { on_tick(s, out); },
+        },
+        e.what);
+}
+
+std::uint64_t hash_of(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+std::string digest_of(std::string_view text)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    auto const hash = XXH3_128bits(text.data(), text.size());
+    std::string out;
+    for (auto const half : std::array{hash.high64, hash.low64})
+        for (int shift = 60; shift >= 0; shift -= 4)
+            out += digits[(half >> shift) & 0xf];
+    return out;
+}
+
+request_state* find_request(node_state& s, request_id const& id)
+{
+    auto const it = s.requests.find(id);
+    return it == s.requests.end() ? nullptr : &it->second;
+}
+
+request_state* request_of_call(node_state& s, call_id call)
+{
+    auto const it = s.calls.find(call);
+    if (it == s.calls.end())
+        return nullptr;
+    auto* const r = find_request(s, it->second);
+    return r != nullptr && r->call == call ? r : nullptr;
+}
+
+void note(effects& out, int number, std::string subject, std::string peer,
+          std::string detail)
+{
+    out.push_back(log_event{number, std::move(subject), std::move(peer),
+                            std::move(detail)});
+}
+
+void remember(node_state& s, std::string subject, std::string rule,
+              std::string detail)
+{
+    s.decisions.push_back(
+        {s.now, std::move(subject), std::move(rule), std::move(detail)});
+    if (s.decisions.size() > max_decisions)
+        s.decisions.pop_front();
+}
+
+std::string next_record_id(node_state& s)
+{
+    return s.settings.name + "." + std::to_string(s.settings.incarnation) +
+           ".a" + std::to_string(s.next_append++);
+}
+
+std::uint64_t
+append_records(node_state& s, std::string stream,
+               std::vector<std::variant<config_record, claim_record>> records,
+               effects& out)
+{
+    append it;
+    it.id = next_record_id(s);
+    it.append = s.next_append;
+    it.stream = std::move(stream);
+    it.records = std::move(records);
+    s.appends[it.append] = pending_append{it, true, {}};
+    s.counts.appends++;
+    auto const number = it.append;
+    out.push_back(std::move(it));
+    return number;
+}
+
+char const* to_string(outcome it)
+{
+    return it == outcome::not_run ? "not_run" : "outcome_unknown";
+}
+
+char const* to_string(step it)
+{
+    constexpr std::array names{"authenticate", "admit",   "queue", "claim",
+                               "route",        "connect", "send",  "receive",
+                               "answer",       "shutdown"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+char const* to_string(endpoint_kind it)
+{
+    return it == endpoint_kind::model_runner ? "model_runner" : "plain_service";
+}
+
+char const* to_string(priority_class it)
+{
+    constexpr std::array names{"order", "chat", "check", "job"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+char const* to_string(move_end it)
+{
+    return it == move_end::finished ? "finished" : "taken_back";
+}
+
+char const* to_string(claim_kind it)
+{
+    constexpr std::array names{"claim", "answered", "released", "unknown"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+char const* to_string(request_phase it)
+{
+    constexpr std::array names{"queued",  "claiming",  "following",
+                               "calling", "answering", "done"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/core/routing.cpp
@@ -0,0 +1,167 @@
+// Routing: the endpoint with the least expected time to the first token.
+#include "core/internal.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace papayahook::core {
+
+namespace {
+
+constexpr std::size_t max_prefixes = 8192; // per endpoint
+constexpr std::size_t max_leaving = 4096;
+constexpr double queue_cost_us = 40'000; // a full endpoint against an idle one
+
+// Running and waiting at the endpoint: its last report, moved on by what this
+// node has started and ended since. An old report is worth nothing.
+int expected_load(node_state const& s, endpoint_state const& e)
+{
+    bool const fresh = e.reported_at != time_point{} &&
+                       e.reported_at + s.settings.report_horizon > s.now;
+    if (!fresh)
+        return e.in_flight;
+    int const moved_on = e.reported + e.in_flight - e.own_at_report;
+    return std::max(moved_on, e.in_flight);
+}
+
+int cached_tokens(endpoint_state const& e, request_arrived const& asked)
+{
+    auto const miss =
+        std::ranges::find_if(asked.prefix_blocks, [&](std::uint64_t it) {
+            return !e.prefixes.contains(it);
+        });
+    auto const blocks = std::distance(asked.prefix_blocks.begin(), miss);
+    return static_cast<int>(blocks) * prefix_block_tokens;
+}
+
+bool takes_schema(endpoint const& e, std::string const& schema)
+{
+    return schema.empty() || e.schema_versions.empty() ||
+           std::ranges::find(e.schema_versions, schema) !=
+               e.schema_versions.end();
+}
+
+bool serves(node_state const& s, endpoint const& e, std::string const& pool,
+            std::string const& version, std::string const& schema)
+{
+    return e.pool == pool && (version.empty() || e.version == version) &&
+           takes_schema(e, schema) && !is_leaving(s, e);
+}
+
+// Microseconds to the first token at this endpoint, as far as is known here.
+double expected_cost(node_state const& s, request_state const& r,
+                     endpoint const& e, endpoint_state const& known)
+{
+    double const hop =
+        e.zone == s.settings.zone ? 0.0 : duration(s.settings.hop_cost).count();
+    int const prompt =
+        r.asked.prompt_tokens + static_cast<int>(r.chunks.size());
+    int const uncached = std::max(0, prompt - cached_tokens(known, r.asked));
+    double const prefill = e.kind == endpoint_kind::model_runner
+                               ? static_cast<double>(uncached) *
+                                     s.settings.prefill_per_token.count()
+                               : 0.0;
+    double const fill =
+        static_cast<double>(expected_load(s, known)) / std::max(1, e.slots);
+    return hop + prefill + fill * fill * queue_cost_us;
+}
+
+} // namespace
+
+bool is_leaving(node_state const& s, endpoint const& e)
+{
+    return s.known_leaving.contains({e.name, e.incarnation});
+}
+
+bool has_endpoint(node_state const& s, std::string const& pool,
+                  std::string const& version, std::string const& schema)
+{
+    return std::ranges::any_of(s.config.endpoints, [&](auto const& it) {
+        return serves(s, it.second.value, pool, version, schema);
+    });
+}
+
+std::string choose_endpoint(node_state& s, request_state const& r,
+                            std::string const& version)
+{
+    auto const& it = s.config.routes.at(r.asked.route).value;
+    std::string best;
+    bool best_untried = false;
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto const& [name, rec] : s.config.endpoints) {
+        auto const& e = rec.value;
+        if (!serves(s, e, it.pool, version, r.asked.schema_version))
+            continue;
+        auto const& known = s.endpoints[name];
+        bool const has_room = expected_load(s, known) < e.slots;
+        if (known.paused_until > s.now || !has_room)
+            continue;
+        bool const untried = std::ranges::find(r.tried, name) == r.tried.end();
+        // Ties are broken by request, or all nodes would pick the same one.
+        double const jitter =
+            static_cast<double>(hash_of(name + r.asked.id) % 1000);
+        double const cost = expected_cost(s, r, e, known) + jitter;
+        if (untried < best_untried)
+            continue;
+        if (untried > best_untried || cost < best_cost) {
+            best = name;
+            best_cost = cost;
+            best_untried = untried;
+        }
+    }
+    if (!best.empty())
+        remember(s, r.asked.id, "route.least_first_token",
+                 best + " at " + std::to_string(std::llround(best_cost)) +
+                     " us, version " + version);
+    return best;
+}
+
+void note_prefixes(node_state& s, request_state const& r)
+{
+    auto& e = s.endpoints[r.endpoint];
+    for (auto const block : r.asked.prefix_blocks)
+        if (e.prefixes.insert(block).second)
+            e.prefix_order.push_back(block);
+    while (e.prefix_order.size() > max_prefixes) {
+        e.prefixes.erase(e.prefix_order.front());
+        e.prefix_order.pop_front();
+    }
+}
+
+void on_report(node_state& s, endpoint_report const& e, effects& out)
+{
+    auto const it = s.config.endpoints.find(e.endpoint);
+    if (it == s.config.endpoints.end())
+        return;
+    auto& known = s.endpoints[e.endpoint];
+    known.reported = e.running + e.waiting;
+    known.own_at_report = known.in_flight;
+    known.reported_at = s.now;
+    if (e.leaving)
+        learn_leaving(s, {e.endpoint, it->second.value.incarnation}, out);
+}
+
+void on_instance_list(node_state& s, instance_list const& e, effects& out)
+{
+    // Only "leaving" is taken from the list: it lags, so that its "live"
+    // says nothing against a sign that came by another way.
+    for (auto const& it : e.instances)
+        if (it.leaving)
+            learn_leaving(s, {it.endpoint, it.incarnation}, out);
+}
+
+bool learn_leaving(node_state& s, endpoint_leaving const& e, effects& out)
+{
+    if (s.known_leaving.size() >= max_leaving ||
+        !s.known_leaving.insert(e).second)
+        return false;
+    remember(s, e.endpoint, "endpoint.leaving", e.incarnation);
+    note(out, events::endpoint_leaving, e.endpoint, "", e.incarnation);
+    news item;
+    item.leaving.push_back(e);
+    spread(s, item, 0, out);
+    return true;
+}
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/core/streams.cpp
@@ -0,0 +1,395 @@
+// Streams: one request's calls, from dispatch to the last byte at the caller.
+#include "core/internal.hpp"
+
+#include <algorithm>
+
+namespace papayahook::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int failures_before_pause = 3;
+constexpr std::size_t max_early_chunks = 4096;
+constexpr double retry_bucket = 20; // retries that may come at once
+
+void close_call(node_state& s, request_state& r)
+{
+    if (r.call == 0)
+        return;
+    s.calls.erase(r.call);
+    s.endpoints[r.endpoint].in_flight--;
+    r.call = 0;
+    r.paused = false;
+}
+
+void end_request(node_state& s, request_state& r)
+{
+    leave_queue(s, r);
+    close_call(s, r);
+    r.phase = request_phase::done;
+    r.ended = s.now;
+    r.early.clear();
+    s.in_flight[r.organisation]--;
+}
+
+// Chunks are held for a stream to be resumed or re-attached, and for an
+// answer to be shared; a plain body needs to be held only until it is sent.
+bool holds_chunks(request_state const& r)
+{
+    return r.asked.model || !r.claim_key.empty();
+}
+
+void push_out(node_state& s, request_state& r, effects& out)
+{
+    if (!r.caller_present)
+        return;
+    if (!r.head_sent) {
+        r.head_sent = true;
+        out.push_back(send_head{r.asked.id, r.status, r.content_type});
+    }
+    for (; r.sent < r.chunks.size(); ++r.sent) {
+        auto& data = r.chunks[r.sent];
+        out.push_back(send_chunk{r.asked.id, r.sent, data});
+        if (!holds_chunks(r))
+            data.clear();
+    }
+    bool const behind = r.sent > r.drained + s.settings.max_backlog;
+    if (behind && r.call != 0 && !r.paused) {
+        r.paused = true;
+        out.push_back(pause_call{r.call});
+    }
+}
+
+void share_answer(node_state& s, request_state& r, effects& out)
+{
+    if (!r.claim_key.empty())
+        record_outcome(s, r, claim_kind::answered, out);
+}
+
+void complete(node_state& s, request_state& r, effects& out)
+{
+    r.phase = request_phase::answering;
+    push_out(s, r, out);
+    if (r.caller_present)
+        out.push_back(finish_answer{r.asked.id});
+    count_answer(s, r, r.status >= 500);
+    s.endpoints[r.endpoint].failures = 0;
+    s.counts.answered++;
+    share_answer(s, r, out);
+    end_request(s, r);
+    drain_queues(s, out);
+}
+
+bool take_retry_token(node_state& s, request_state const& r)
+{
+    auto& tokens =
+        s.retry_tokens.try_emplace(r.asked.route, retry_bucket).first->second;
+    if (tokens < 1)
+        return false;
+    tokens -= 1;
+    return true;
+}
+
+// A further dispatch is allowed where it cannot run the request twice.
+bool may_call_again(node_state const& s, request_state const& r)
+{
+    if (r.attempts >= s.settings.max_attempts)
+        return false;
+#if PAPAYAHOOK_MUTATION_RETRY_ANYTHING
+    return true;
+#endif
+    if (!r.repeatable && r.may_have_run)
+        return false;
+    bool const plain_bytes_sent = r.head_sent && !r.asked.model;
+    return !plain_bytes_sent;
+}
+
+void lose_call(node_state& s, request_state& r, step where, bool may_have_run,
+               std::string detail, effects& out)
+{
+    auto const endpoint = r.endpoint;
+    auto& e = s.endpoints[endpoint];
+    note(out, events::call_failed, r.asked.id, endpoint,
+         std::string(to_string(where)) + ": " + detail);
+    if (++e.failures >= failures_before_pause || where == step::connect) {
+        e.paused_until = s.now + s.settings.endpoint_pause;
+        note(out, events::endpoint_paused, endpoint, "", detail);
+    }
+    r.may_have_run = r.may_have_run || may_have_run;
+    r.tried.push_back(endpoint);
+    count_answer(s, r, true);
+    close_call(s, r);
+    // A new version that failed is not tried again for this request, unless
+    // the caller already has a part of its answer.
+    if (r.chunks.empty())
+        r.version.clear();
+    bool const in_time = r.deadline > s.now || r.head_sent;
+    if (in_time && may_call_again(s, r) && take_retry_token(s, r)) {
+        s.counts.retries++;
+        note(out, events::request_retried, r.asked.id, endpoint, detail);
+        remember(s, r.asked.id, "retry", detail);
+        r.early.clear();
+        r.total.reset();
+        enqueue(s, r, out);
+        return;
+    }
+    refuse_request(
+        s, r, {502, outcome::not_run, where, endpoint, std::move(detail), 0s},
+        out);
+}
+
+} // namespace
+
+void start_call(node_state& s, request_state& r, std::string const& endpoint,
+                std::string const& version, effects& out)
+{
+    auto const& e = s.config.endpoints.at(endpoint).value;
+    bool const first = r.attempts == 0;
+    r.attempts++;
+    r.endpoint = endpoint;
+    r.version = version;
+    r.phase = r.head_sent ? request_phase::answering : request_phase::calling;
+    r.call = s.next_call++;
+    r.call_started = s.now;
+    r.progress_at = s.now;
+    s.calls[r.call] = r.asked.id;
+    s.endpoints[endpoint].in_flight++;
+    s.counts.dispatches++;
+    if (first) {
+        auto& tokens = s.retry_tokens.try_emplace(r.asked.route, retry_bucket)
+                           .first->second;
+        tokens = std::min(retry_bucket, tokens + s.settings.retry_budget);
+    }
+    if (!r.chunks.empty()) {
+        s.counts.resumed_streams++;
+        s.counts.tokens_recomputed +=
+            static_cast<std::uint64_t>(r.asked.prompt_tokens) + r.chunks.size();
+    }
+    note_prefixes(s, r);
+    dispatch it;
+    it.id = r.asked.id;
+    it.call = r.call;
+    it.endpoint = endpoint;
+    it.address = e.address;
+    it.kind = e.kind;
+    it.version = version;
+    if (e.kind == endpoint_kind::model_runner)
+        it.resume_chunks = r.chunks;
+    it.fresh_connection = !r.tried.empty();
+    it.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+        r.deadline - s.now);
+    out.push_back(std::move(it));
+}
+
+void on_head(node_state& s, answer_head const& e, effects& out)
+{
+    auto* const r = request_of_call(s, e.call);
+    if (r == nullptr)
+        return;
+    r->progress_at = s.now;
+    if (e.leaving)
+        learn_leaving(
+            s,
+            {r->endpoint, s.config.endpoints.at(r->endpoint).value.incarnation},
+            out);
+    bool const broken = e.status >= 500 && r->repeatable;
+    if (e.not_run || broken) {
+        auto const call = e.call;
+        out.push_back(cancel_call{call});
+        lose_call(s, *r, step::answer, !e.not_run,
+                  "status " + std::to_string(e.status), out);
+        return;
+    }
+    if (!r->head_sent) {
+        r->status = e.status;
+        r->content_type = e.content_type;
+    }
+}
+
+void on_chunk(node_state& s, answer_chunk const& e, effects& out)
+{
+    auto* const r = request_of_call(s, e.call);
+    if (r == nullptr)
+        return;
+    r->progress_at = s.now;
+    auto const next = r->chunks.size();
+    if (e.index < next)
+        return; // late or doubled
+    if (e.index > next) {
+        if (r->early.size() < max_early_chunks)
+            r->early.emplace(e.index, e.data);
+        return;
+    }
+    if (!r->first_chunk_seen) {
+        r->first_chunk_seen = true;
+        r->slow = is_slow(s, *r, s.now - r->call_started);
+        note_first_token(s, *r, s.now - r->call_started);
+    }
+    r->chunks.push_back(e.data);
+    auto it = r->early.find(r->chunks.size());
+    while (it != r->early.end()) {
+        r->chunks.push_back(std::move(it->second));
+        r->early.erase(it);
+        it = r->early.find(r->chunks.size());
+    }
+    r->phase = request_phase::answering;
+    push_out(s, *r, out);
+    if (r->total && r->chunks.size() >= *r->total)
+        complete(s, *r, out);
+}
+
+void on_end(node_state& s, answer_end const& e, effects& out)
+{
+    auto* const r = request_of_call(s, e.call);
+    if (r == nullptr)
+        return;
+    r->progress_at = s.now;
+    r->total = e.chunks;
+    if (r->chunks.size() >= e.chunks)
+        complete(s, *r, out);
+    // Else the progress timeout ends the wait for what is still missing.
+}
+
+void on_failed(node_state& s, call_failed const& e, effects& out)
+{
+    auto* const r = request_of_call(s, e.call);
+    if (r != nullptr)
+        lose_call(s, *r, e.where, e.may_have_run, e.detail, out);
+}
+
+void on_gone(node_state& s, caller_gone const& e, effects& out)
+{
+    auto* const r = find_request(s, e.id);
+    if (r == nullptr || r->phase == request_phase::done)
+        return;
+    r->caller_present = false;
+    bool const goes_on =
+        r->asked.keep || !r->repeatable || r->klass == priority_class::job;
+    if (goes_on) {
+        r->drained = r->sent; // nobody to wait for
+        if (r->paused && r->call != 0)
+            out.push_back(resume_call{r->call});
+        r->paused = false;
+        return;
+    }
+    if (r->call != 0)
+        out.push_back(cancel_call{r->call});
+    end_request(s, *r);
+    drain_queues(s, out);
+}
+
+void on_drained(node_state& s, caller_drained const& e, effects& out)
+{
+    auto* const r = find_request(s, e.id);
+    if (r == nullptr)
+        return;
+    r->drained = std::max(r->drained, e.index);
+    bool const caught_up = r->sent <= r->drained + s.settings.max_backlog / 2;
+    if (r->paused && caught_up && r->call != 0) {
+        r->paused = false;
+        out.push_back(resume_call{r->call});
+    }
+}
+
+void on_reattach(node_state& s, reattach const& e, effects& out)
+{
+    auto* const r = find_request(s, e.id);
+    bool const held = r != nullptr && (holds_chunks(*r) || r->sent == 0);
+    if (!held || e.from > r->chunks.size()) {
+        out.push_back(refuse{e.id,
+                             {404, outcome::outcome_unknown, step::answer, "",
+                              "this node holds no such answer", 0s}});
+        return;
+    }
+    r->caller_present = true;
+    r->sent = e.from;
+    r->drained = e.from;
+    if (r->failure) {
+        out.push_back(refuse{e.id, *r->failure});
+        return;
+    }
+    bool const started =
+        r->head_sent || !r->chunks.empty() || r->phase == request_phase::done;
+    if (!started)
+        return; // the head goes out with the first chunk
+    r->head_sent = false;
+    push_out(s, *r, out);
+    if (r->phase == request_phase::done)
+        out.push_back(finish_answer{e.id});
+}
+
+// Every way on which an admitted request ends without its whole answer.
+// "not run" is said only where no call may have run and none is open.
+void refuse_request(node_state& s, request_state& r, refusal why, effects& out)
+{
+    bool const open = r.call != 0;
+    if (open)
+        out.push_back(cancel_call{r.call});
+#if !PAPAYAHOOK_MUTATION_ALWAYS_NOT_RUN
+    if (open || r.may_have_run)
+        why.what = outcome::outcome_unknown;
+#endif
+    bool const not_run = why.what == outcome::not_run;
+    (not_run ? s.counts.refused_not_run : s.counts.refused_unknown)++;
+    note(out, not_run ? events::request_refused : events::outcome_unknown,
+         r.asked.id, why.peer,
+         std::string(to_string(why.where)) + ": " + why.detail);
+    if (!r.claim_key.empty() && r.phase != request_phase::following) {
+        drop_unsent_claim(s, r);
+        record_outcome(
+            s, r, not_run ? claim_kind::released : claim_kind::unknown, out);
+    }
+    r.failure = why;
+    if (r.caller_present && r.head_sent) {
+        s.counts.failed_answers++;
+        note(out, events::answer_failed, r.asked.id, why.peer, why.detail);
+        out.push_back(fail_answer{r.asked.id, why});
+    }
+    else if (r.caller_present) {
+        out.push_back(refuse{r.asked.id, why});
+    }
+    end_request(s, r);
+    drain_queues(s, out);
+}
+
+void give_stored_answer(node_state& s, request_state& r,
+                        claim_state const& claim, effects& out)
+{
+    r.status = claim.status;
+    r.content_type = claim.content_type;
+    r.chunks = {claim.body};
+    r.sent = 0;
+    push_out(s, r, out);
+    if (r.caller_present)
+        out.push_back(finish_answer{r.asked.id});
+    s.counts.answered++;
+    end_request(s, r);
+}
+
+// A call that has gone quiet is given up and tried on a new connection: the
+// old one may have been lost by something between the two ends.
+void check_progress(node_state& s, effects& out)
+{
+    std::vector<request_id> quiet;
+    for (auto const& [id, r] : s.requests) {
+        auto const it = s.config.routes.find(r.asked.route);
+        if (r.call == 0 || r.paused || it == s.config.routes.end())
+            continue;
+        // One that may not be repeated gains nothing from being given up
+        // before its deadline.
+        bool const patient = !r.repeatable && r.deadline > s.now;
+        if (!patient &&
+            r.progress_at + it->second.value.progress_timeout <= s.now)
+            quiet.push_back(id);
+    }
+    std::ranges::sort(quiet);
+    for (auto const& id : quiet) {
+        auto& r = s.requests.at(id);
+        note(out, events::connection_silent, id, r.endpoint, "");
+        out.push_back(cancel_call{r.call});
+        lose_call(s, r, step::receive, true, "no progress in time", out);
+    }
+}
+
+} // namespace papayahook::core
--- /dev/null
+++ b/src/runtime/admin.cpp
@@ -0,0 +1,61 @@
+// Admin port: state, metrics, health, explanations.
+#include "codec/json.hpp"
+#include "runtime/metrics.hpp"
+#include "runtime/node.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace papayahook::runtime {
+
+namespace {
+
+constexpr char const* json_type = "application/json";
+
+void send_text(responder_ptr const& out, int status, char const* type,
+               std::string body)
+{
+    out->send(status, {{"Content-Type", type}}, std::move(body));
+}
+
+bool is_ready(core::node_state const& s)
+{
+    return !s.leaving && s.config.applied != 0;
+}
+
+std::string explain(core::node_state const& s, std::string const& subject)
+{
+    auto out = nlohmann::json::array();
+    for (auto const& it : s.decisions)
+        if (it.subject == subject)
+            out.push_back({{"at_us", it.at.time_since_epoch().count()},
+                           {"rule", it.rule},
+                           {"detail", it.detail}});
+    return out.dump(2);
+}
+
+} // namespace
+
+void on_admin_request(node& n, http_request const& in, responder_ptr const& out)
+{
+    auto const& s = n.state;
+    if (in.method != "GET")
+        send_text(out, 405, "text/plain", "GET is expected\n");
+    else if (in.path == "/state")
+        send_text(out, 200, json_type, codec::state_to_json(s));
+    else if (in.path == "/metrics")
+        send_text(out, 200, "text/plain; version=0.0.4",
+                  metrics_text(
+                      s, {n.links->bytes_sent(), n.links->bytes_received()}));
+    else if (in.path == "/healthz")
+        send_text(out, 200, "text/plain", "ok\n");
+    else if (in.path == "/readyz")
+        send_text(out, is_ready(s) ? 200 : 503, "text/plain",
+                  is_ready(s) ? "ready\n" : "not ready\n");
+    else if (in.path == "/explain")
+        send_text(out, 200, json_type,
+                  explain(s, query_value(in.query, "subject")));
+    else
+        send_text(out, 404, "text/plain", "no such path\n");
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/callers.cpp
@@ -0,0 +1,330 @@
+// Callers' connections: requests in, answers out, re-attaching.
+#include "runtime/node.hpp"
+
+#include "codec/json.hpp"
+
+#include <algorithm>
+#include <asio/post.hpp>
+
+namespace papayahook::runtime {
+
+namespace {
+
+constexpr std::string_view requests_prefix = "/v1/requests/";
+constexpr char const* forwarded_header = "X-Forwarded-By-Node";
+
+core::request_id new_request_id(node& n)
+{
+    return n.set.core.name + "." +
+           std::to_string(n.state.settings.incarnation) + "." +
+           std::to_string(n.next_request++);
+}
+
+void send_problem(responder_ptr const& out, core::request_id const& id,
+                  core::refusal const& why)
+{
+    out->send(why.status, problem_headers(id, why), problem_document(id, why));
+}
+
+core::refusal unknown_answer(std::string detail)
+{
+    return {404,
+            core::outcome::outcome_unknown,
+            core::step::answer,
+            "",
+            std::move(detail),
+            std::chrono::seconds(0)};
+}
+
+bool is_raw(open_request const& r)
+{
+    return r.form == answer_form::plain || r.status != 200;
+}
+
+std::string content_type_of(open_request const& r)
+{
+    if (is_raw(r))
+        return r.content_type;
+    return is_stream(r.form) ? "text/event-stream" : "application/json";
+}
+
+std::string written_form(open_request const& r, core::request_id const& id,
+                         std::uint64_t index, std::string const& data)
+{
+    return is_raw(r) ? data : token_event(r.form, id, index, data);
+}
+
+// Puts the pending chunks on the wire; begins the stream with the first.
+void flush(node& n, core::request_id const& id, open_request& r)
+{
+    bool const collects = !is_raw(r) && !is_stream(r.form);
+    if (r.out == nullptr || r.status == 0 || collects)
+        return;
+    if (!r.streaming) {
+        r.streaming = true;
+        r.out->start(r.status, {{"Content-Type", content_type_of(r)},
+                                {"X-Request-Id", id}});
+    }
+    auto index = r.next_index - r.pending.size();
+    std::string bytes;
+    for (auto const& it : r.pending)
+        bytes += written_form(r, id, index++, it);
+    r.pending.clear();
+    if (bytes.empty())
+        return;
+    r.out->write(std::move(bytes), [&n, id, index](std::error_code ec) {
+        if (!ec)
+            handle(n, core::caller_drained{id, index});
+    });
+}
+
+// Chunks that come in one turn of the loop leave in one write, and a short
+// answer that ends in the same turn leaves whole, with its length.
+void post_flush(node& n, core::request_id const& id, open_request& r)
+{
+    if (r.flush_posted)
+        return;
+    r.flush_posted = true;
+    asio::post(n.io, [&n, id] {
+        auto const it = n.requests.find(id);
+        if (it == n.requests.end())
+            return;
+        it->second.flush_posted = false;
+        flush(n, id, it->second);
+    });
+}
+
+void send_whole(core::request_id const& id, open_request& r)
+{
+    std::string body;
+    if (is_raw(r))
+        for (auto const& it : r.pending)
+            body += it;
+    else if (!is_stream(r.form))
+        body = whole_answer(r.form, id, r.pending);
+    else {
+        auto index = r.next_index - r.pending.size();
+        for (auto const& it : r.pending)
+            body += token_event(r.form, id, index++, it);
+        body += end_event();
+    }
+    r.out->send(r.status,
+                {{"Content-Type", content_type_of(r)}, {"X-Request-Id", id}},
+                std::move(body));
+}
+
+void detach(open_request& r)
+{
+    r.out.reset();
+    r.pending.clear();
+    r.streaming = false;
+    r.status = 0;
+    r.connection_id = 0;
+}
+
+// The answer of a request is held by the node that its id names.
+void forward_reattach(node& n, std::string const& target,
+                      core::request_id const& id, http_request const& in,
+                      responder_ptr const& out)
+{
+    http_call call;
+    call.url =
+        "http://" + target + in.path + (in.query.empty() ? "" : "?" + in.query);
+    call.connect_timeout = n.set.connect_timeout;
+    call.headers = {{forwarded_header, n.set.core.name},
+                    {"Authorization",
+                     std::string(header_value(in.headers, "Authorization"))}};
+    auto started = std::make_shared<bool>(false);
+    call.on_head = [out, started](int status, header_list const& headers) {
+        *started = true;
+        out->start(status,
+                   {{"Content-Type",
+                     std::string(header_value(headers, "Content-Type"))},
+                    {"X-Request-Id",
+                     std::string(header_value(headers, "X-Request-Id"))}});
+    };
+    call.on_data = [out](std::string_view data) {
+        out->write(std::string(data), nullptr);
+    };
+    call.on_done = [out, started, id](http_result const& result) {
+        auto const why =
+            unknown_answer("the node that holds the answer is gone");
+        if (!*started)
+            send_problem(out, id, why);
+        else {
+            if (result.error)
+                out->write(error_event(id, why), nullptr);
+            out->finish();
+        }
+    };
+    n.client.start(std::move(call));
+}
+
+std::string holder_address(node const& n, core::request_id const& id)
+{
+    auto const name = id.substr(0, id.find('.'));
+    auto const it = n.state.members.find(name);
+    bool const other = it != n.state.members.end() && name != n.set.core.name;
+    return other ? it->second.caller_address : std::string{};
+}
+
+void on_reattach(node& n, http_request const& in, responder_ptr const& out)
+{
+    auto const id = in.path.substr(requests_prefix.size());
+    auto const it = n.requests.find(id);
+    if (it == n.requests.end()) {
+        auto const target = holder_address(n, id);
+        bool const forwarded =
+            !header_value(in.headers, forwarded_header).empty();
+        if (target.empty() || forwarded)
+            send_problem(out, id, unknown_answer("no such request here"));
+        else
+            forward_reattach(n, target, id, in, out);
+        return;
+    }
+    auto const bearer = header_value(in.headers, "Authorization");
+    constexpr std::string_view scheme = "Bearer ";
+    auto const key = bearer.starts_with(scheme)
+                         ? std::string(bearer.substr(scheme.size()))
+                         : std::string{};
+    if (codec::sha256(key) != it->second.key_digest) {
+        send_problem(out, id, unknown_answer("no such request here"));
+        return;
+    }
+    auto const from_text = query_value(in.query, "from");
+    std::uint64_t from = 0;
+    for (char const c : from_text)
+        from = c >= '0' && c <= '9'
+                   ? from * 10 + static_cast<std::uint64_t>(c - '0')
+                   : from;
+    detach(it->second);
+    it->second.out = out;
+    it->second.connection_id = in.connection_id;
+    it->second.next_index = from;
+    handle(n, core::reattach{id, from});
+}
+
+} // namespace
+
+void on_caller_request(node& n, http_request in, responder_ptr out)
+{
+    if (in.path.starts_with(requests_prefix) && in.method == "GET") {
+        on_reattach(n, in, out);
+        return;
+    }
+    auto const id = new_request_id(n);
+    auto parsed = parse_request(in, id);
+    if (auto const* const bad = std::get_if<bad_request>(&parsed)) {
+        send_problem(out, id,
+                     {bad->status, core::outcome::not_run, core::step::admit,
+                      "", bad->detail, std::chrono::seconds(0)});
+        return;
+    }
+    auto& it = std::get<parsed_request>(parsed);
+    open_request r;
+    r.connection_id = in.connection_id;
+    r.asked = std::move(in);
+    r.key_digest = it.event.key_digest;
+    r.form = it.form;
+    r.path = std::move(it.path);
+    r.out = std::move(out);
+    n.requests.emplace(id, std::move(r));
+    handle(n, std::move(it.event));
+}
+
+void on_caller_closed(node& n, std::uint64_t connection_id)
+{
+    std::vector<core::request_id> gone;
+    for (auto& [id, r] : n.requests) {
+        if (r.out == nullptr || r.connection_id != connection_id)
+            continue;
+        detach(r);
+        gone.push_back(id);
+    }
+    for (auto const& id : gone)
+        handle(n, core::caller_gone{id});
+}
+
+void perform(node& n, core::refuse const& it)
+{
+    auto const found = n.requests.find(it.id);
+    if (found == n.requests.end() || found->second.out == nullptr)
+        return;
+    send_problem(found->second.out, it.id, it.why);
+    detach(found->second);
+}
+
+void perform(node& n, core::send_head const& it)
+{
+    auto const found = n.requests.find(it.id);
+    if (found == n.requests.end())
+        return;
+    found->second.status = it.status;
+    found->second.content_type = it.content_type;
+}
+
+void perform(node& n, core::send_chunk const& it)
+{
+    auto const found = n.requests.find(it.id);
+    if (found == n.requests.end() || found->second.out == nullptr)
+        return;
+    auto& r = found->second;
+    r.pending.push_back(it.data);
+    r.next_index = it.index + 1;
+    bool const collects = !is_raw(r) && !is_stream(r.form);
+    if (collects)
+        handle(n, core::caller_drained{it.id, it.index + 1});
+    else
+        post_flush(n, it.id, r);
+}
+
+void perform(node& n, core::finish_answer const& it)
+{
+    auto const found = n.requests.find(it.id);
+    if (found == n.requests.end() || found->second.out == nullptr)
+        return;
+    auto& r = found->second;
+    if (!r.streaming) {
+        send_whole(it.id, r);
+    }
+    else {
+        flush(n, it.id, r);
+        if (!is_raw(r))
+            r.out->write(end_event(), nullptr);
+        r.out->finish();
+    }
+    detach(r);
+}
+
+void perform(node& n, core::fail_answer const& it)
+{
+    auto const found = n.requests.find(it.id);
+    if (found == n.requests.end() || found->second.out == nullptr)
+        return;
+    auto& r = found->second;
+    if (!r.streaming && !is_stream(r.form)) {
+        send_problem(r.out, it.id, it.why);
+        detach(r);
+        return;
+    }
+    flush(n, it.id, r);
+    // A plain body has no place for an error event: the connection is closed
+    // before the last chunk mark, which every client reports as broken.
+    if (!is_raw(r)) {
+        r.out->write(error_event(it.id, it.why), nullptr);
+        r.out->finish();
+    }
+    else {
+        r.out->abort();
+    }
+    detach(r);
+}
+
+void forget_old_requests(node& n)
+{
+    std::erase_if(n.requests, [&](auto const& it) {
+        return it.second.out == nullptr && !n.state.requests.contains(it.first);
+    });
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/endpoints.cpp
@@ -0,0 +1,236 @@
+// Calls to endpoints and what comes back from them.
+#include "runtime/node.hpp"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace papayahook::runtime {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto poll_timeout = 1s;
+// Headers that belong to one connection or to this node.
+constexpr std::array not_passed_on{"Host",
+                                   "Connection",
+                                   "Authorization",
+                                   "Content-Length",
+                                   "Keep-Alive",
+                                   "Transfer-Encoding",
+                                   "TE",
+                                   "Trailer",
+                                   "Upgrade",
+                                   "Expect"};
+
+core::step step_of(std::string const& name)
+{
+    if (name == "connect")
+        return core::step::connect;
+    if (name == "send")
+        return core::step::send;
+    return core::step::receive;
+}
+
+header_list passed_headers(http_request const& in)
+{
+    header_list out;
+    std::ranges::copy_if(
+        in.headers, std::back_inserter(out), [](auto const& it) {
+            header_list const one{it};
+            return std::ranges::none_of(not_passed_on, [&](char const* name) {
+                return header_value(one, name).data() != nullptr;
+            });
+        });
+    return out;
+}
+
+void on_head(node& n, core::call_id call, int status,
+             header_list const& headers)
+{
+    auto const it = n.calls.find(call);
+    if (it == n.calls.end())
+        return;
+    auto const type = header_value(headers, "Content-Type");
+    bool const events = type.starts_with("text/event-stream");
+    it->second.raw = !it->second.model || status != 200 || !events;
+    core::answer_head head;
+    head.call = call;
+    head.status = status;
+    head.content_type = type;
+    head.not_run = header_value(headers, "X-Not-Run") == "1";
+    head.leaving = header_value(headers, "X-Leaving") == "1";
+    handle(n, head);
+}
+
+// One line of a runner's event stream.
+void on_line(node& n, core::call_id call, std::string_view line)
+{
+    auto const token = parse_runner_line(line);
+    auto const it = n.calls.find(call);
+    if (!token || it == n.calls.end())
+        return;
+    auto& c = it->second;
+    if (token->done) {
+        c.done_seen = true;
+        return;
+    }
+    auto const index = token->index.value_or(c.next_index);
+    c.next_index = std::max(c.next_index, index + 1);
+    handle(n, core::answer_chunk{call, index, token->text});
+}
+
+void on_data(node& n, core::call_id call, std::string_view data)
+{
+    auto it = n.calls.find(call);
+    if (it == n.calls.end())
+        return;
+    if (it->second.raw) {
+        auto const index = it->second.next_index++;
+        handle(n, core::answer_chunk{call, index, std::string(data)});
+        return;
+    }
+    it->second.line += data;
+    auto lines = std::move(it->second.line);
+    std::string_view rest = lines;
+    for (auto end = rest.find('\n'); end != rest.npos; end = rest.find('\n')) {
+        auto line = rest.substr(0, end);
+        rest.remove_prefix(end + 1);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        on_line(n, call, line);
+    }
+    it = n.calls.find(call); // a line may have ended the call
+    if (it != n.calls.end())
+        it->second.line = std::string(rest);
+}
+
+void on_done(node& n, core::call_id call, http_result const& result)
+{
+    auto const node = n.calls.extract(call);
+    if (node.empty())
+        return;
+    auto const& c = node.mapped();
+    bool const whole = c.raw || c.done_seen;
+    if (!result.error && whole)
+        handle(n, core::answer_end{call, c.next_index});
+    else if (result.error)
+        handle(n,
+               core::call_failed{call, step_of(result.step),
+                                 result.may_have_run, result.error.message()});
+    else
+        handle(n, core::call_failed{call, core::step::receive, true,
+                                    "the stream ended without its end mark"});
+}
+
+void on_load(node& n, std::string const& endpoint,
+             std::string const& incarnation, std::string const& body)
+{
+    auto const j = nlohmann::json::parse(body, nullptr, false);
+    if (!j.is_object())
+        return;
+    core::endpoint_report report;
+    report.endpoint = endpoint;
+    report.incarnation = incarnation;
+    try {
+        report.leaving = j.value("leaving", false);
+        report.running = j.value("running", 0);
+        report.waiting = j.value("waiting", 0);
+    }
+    catch (nlohmann::json::exception const&) {
+        return;
+    }
+    handle(n, report);
+}
+
+void poll(node& n, core::endpoint const& e)
+{
+    http_call call;
+    call.url = "http://" + e.address + "/load";
+    call.connect_timeout = n.set.connect_timeout;
+    call.total_timeout = poll_timeout;
+    auto body = std::make_shared<std::string>();
+    call.on_data = [body](std::string_view data) {
+        *body += data;
+    };
+    call.on_done = [&n, body, name = e.name,
+                    incarnation = e.incarnation](http_result const& result) {
+        if (!result.error && result.status == 200)
+            on_load(n, name, incarnation, *body);
+    };
+    n.client.start(std::move(call));
+}
+
+} // namespace
+
+void perform(node& n, core::dispatch const& it)
+{
+    auto const found = n.requests.find(it.id);
+    if (found == n.requests.end())
+        return;
+    auto const& r = found->second;
+    bool const model = it.kind == core::endpoint_kind::model_runner;
+    http_call call;
+    call.method = r.asked.method;
+    call.headers = passed_headers(r.asked);
+    call.headers.emplace_back("X-Request-Id", it.id);
+    call.url = "http://" + it.address + (model ? r.asked.path : r.path);
+    call.body = model ? runner_body(r.asked.body, it.id, it.resume_chunks)
+                      : r.asked.body;
+    call.connect_timeout = n.set.connect_timeout;
+    call.fresh_connection = it.fresh_connection;
+    auto const id = it.call;
+    call.on_head = [&n, id](int status, header_list const& headers) {
+        on_head(n, id, status, headers);
+    };
+    call.on_data = [&n, id](std::string_view data) {
+        on_data(n, id, data);
+    };
+    call.on_done = [&n, id](http_result const& result) {
+        on_done(n, id, result);
+    };
+    open_call c;
+    c.model = model;
+    c.next_index = it.resume_chunks.size();
+    c.transfer = n.client.start(std::move(call));
+    n.calls.emplace(id, std::move(c));
+}
+
+void perform(node& n, core::cancel_call const& it)
+{
+    auto const node = n.calls.extract(it.call);
+    if (!node.empty())
+        n.client.cancel(node.mapped().transfer);
+}
+
+void perform(node& n, core::pause_call const& it)
+{
+    auto const found = n.calls.find(it.call);
+    if (found != n.calls.end())
+        n.client.pause(found->second.transfer);
+}
+
+void perform(node& n, core::resume_call const& it)
+{
+    auto const found = n.calls.find(it.call);
+    if (found != n.calls.end())
+        n.client.resume(found->second.transfer);
+}
+
+// Each node asks a few endpoints a second, each beginning at another one:
+// together they see every endpoint often, whatever the size of the fleet.
+void poll_endpoints(node& n)
+{
+    auto const& all = n.state.config.endpoints;
+    if (!all.empty()) {
+        auto const start = core::hash_of(n.set.core.name);
+        auto const at = (start + n.next_poll++) % all.size();
+        poll(n, std::next(all.begin(), static_cast<long>(at))->second.value);
+    }
+    auto const period = std::chrono::milliseconds(
+        static_cast<int>(1000 / n.set.polls_per_second));
+    after(n, period, [&n] { poll_endpoints(n); });
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/http_server.cpp
@@ -0,0 +1,211 @@
+#include "runtime/http_server.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+#include <restinio/all.hpp>
+
+namespace papayahook::runtime {
+
+namespace {
+
+// Pipelining of two lets RESTinio read on while an answer is open, so that a
+// caller that goes away is noticed at once and not at the next write.
+constexpr std::size_t pipelined_requests = 2;
+constexpr std::chrono::hours handler_time_limit{24}; // core owns deadlines
+constexpr std::size_t read_buffer_bytes = 8 * 1024;
+
+struct close_listener
+{
+    std::function<void(std::uint64_t)> on_close;
+
+    void state_changed(restinio::connection_state::notice_t const& n)
+    {
+        bool const closed =
+            std::holds_alternative<restinio::connection_state::closed_t>(
+                n.cause());
+        if (closed && on_close)
+            on_close(n.connection_id());
+    }
+};
+
+struct traits : restinio::default_single_thread_traits_t
+{
+    using connection_state_listener_t = close_listener;
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+using server = restinio::http_server_t<traits>;
+
+class responder final : public http_responder
+{
+public:
+    explicit responder(restinio::request_handle_t request)
+        : request_(std::move(request))
+    {
+    }
+
+    void send(int status, header_list const& headers, std::string body) override
+    {
+        auto response = request_->create_response(status_line(status));
+        for (auto const& [name, value] : headers)
+            response.append_header(name, value);
+        response.set_body(std::move(body));
+        response.done();
+    }
+
+    void start(int status, header_list const& headers) override
+    {
+        connection_ = restinio::impl::access_req_connection(*request_);
+        stream_.emplace(request_->create_response<restinio::chunked_output_t>(
+            status_line(status)));
+        for (auto const& [name, value] : headers)
+            stream_->append_header(name, value);
+    }
+
+    void write(std::string data, written on_written) override
+    {
+        if (!stream_)
+            return;
+        stream_->append_chunk(std::move(data));
+        stream_->flush([on_written = std::move(on_written)](auto const& ec) {
+            if (on_written)
+                on_written(ec);
+        });
+    }
+
+    void finish() override
+    {
+        if (!stream_)
+            return;
+        stream_->done();
+        stream_.reset();
+    }
+
+    // A final write of nothing that closes the connection: the end mark of
+    // the chunked body is missing, which every client reports as broken.
+    void abort() override
+    {
+        if (!stream_)
+            return;
+        restinio::response_output_flags_t const flags{
+            restinio::response_parts_attr_t::final_parts,
+            restinio::response_connection_attr_t::connection_close};
+        restinio::writable_items_container_t nothing;
+        connection_->write_response_parts(
+            request_->request_id(), flags,
+            restinio::write_group_t{std::move(nothing)});
+        stream_.reset();
+    }
+
+private:
+    using stream = restinio::response_builder_t<restinio::chunked_output_t>;
+
+    static restinio::http_status_line_t status_line(int status)
+    {
+        auto const code = static_cast<std::uint16_t>(status);
+        return {restinio::http_status_code_t{code},
+                status < 300 ? "OK" : "Error"};
+    }
+
+    restinio::request_handle_t request_;
+    restinio::impl::connection_handle_t connection_; // while streaming
+    std::optional<stream> stream_;
+};
+
+http_request convert(restinio::request_t const& in)
+{
+    http_request out;
+    out.method = in.header().method().c_str();
+    out.path = std::string(in.header().path());
+    out.query = std::string(in.header().query());
+    out.body = in.body();
+    out.connection_id = in.connection_id();
+    in.header().for_each_field([&](auto const& field) {
+        out.headers.emplace_back(field.name(), field.value());
+    });
+    return out;
+}
+
+char lower(char c)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+} // namespace
+
+std::string_view header_value(header_list const& headers, std::string_view name)
+{
+    auto const it = std::ranges::find_if(headers, [&](auto const& header) {
+        return std::ranges::equal(header.first, name, {}, lower, lower);
+    });
+    return it == headers.end() ? std::string_view{} : it->second;
+}
+
+std::string query_value(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        auto const pair = query.substr(0, query.find('&'));
+        auto const eq = pair.find('=');
+        if (pair.substr(0, eq) == name && eq != pair.npos)
+            return std::string(pair.substr(eq + 1));
+        if (pair.size() == query.size())
+            break;
+        query.remove_prefix(pair.size() + 1);
+    }
+    return {};
+}
+
+struct http_server::impl
+{
+    std::unique_ptr<server> srv;
+};
+
+http_server::http_server(asio::io_context& io, http_server_options options,
+                         handler on_request)
+    : impl_(std::make_unique<impl>())
+{
+    auto listener = std::make_shared<close_listener>();
+    listener->on_close = options.on_close;
+    auto limits = restinio::incoming_http_msg_limits_t{}
+                      .max_url_size(options.max_header_bytes)
+                      .max_field_name_size(options.max_header_bytes)
+                      .max_field_value_size(options.max_header_bytes)
+                      .max_field_count(options.max_header_count)
+                      .max_body_size(options.max_body_bytes);
+    restinio::server_settings_t<traits> settings;
+    settings.address(options.address)
+        .port(options.port)
+        .max_pipelined_requests(pipelined_requests)
+        .buffer_size(read_buffer_bytes)
+        .handle_request_timeout(handler_time_limit)
+        .read_next_http_message_timelimit(options.idle_timeout)
+        .write_http_response_timelimit(options.write_timeout)
+        .max_parallel_connections(options.max_connections)
+        .incoming_http_msg_limits(limits)
+        .connection_state_listener(listener)
+        .acceptor_options_setter([](restinio::acceptor_options_t& it) {
+            it.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        })
+        .socket_options_setter([](restinio::socket_options_t& it) {
+            it.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .request_handler([on_request = std::move(on_request)](auto request) {
+            auto in = convert(*request);
+            auto out = std::make_shared<responder>(std::move(request));
+            on_request(std::move(in), std::move(out));
+            return restinio::request_accepted();
+        });
+    impl_->srv = std::make_unique<server>(restinio::external_io_context(io),
+                                          std::move(settings));
+    impl_->srv->open_sync();
+}
+
+http_server::~http_server() = default;
+
+void http_server::stop()
+{
+    impl_->srv->close_sync();
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/metrics.cpp
@@ -0,0 +1,78 @@
+#include "runtime/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace papayahook::runtime {
+
+namespace {
+
+void counter(prometheus::Registry& registry, char const* name, char const* help,
+             std::uint64_t value, prometheus::Labels const& labels = {})
+{
+    prometheus::BuildCounter()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add(labels)
+        .Increment(static_cast<double>(value));
+}
+
+void gauge(prometheus::Registry& registry, char const* name, char const* help,
+           double value, prometheus::Labels const& labels = {})
+{
+    prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add(labels)
+        .Set(value);
+}
+
+} // namespace
+
+std::string metrics_text(core::node_state const& s, link_bytes links)
+{
+    prometheus::Registry r;
+    auto const& n = s.counts;
+    counter(r, "papayahook_requests_total", "Requests received", n.requests);
+    counter(r, "papayahook_answers_total", "Whole answers", n.answered);
+    counter(r, "papayahook_refusals_total", "Requests without an answer",
+            n.refused_not_run, {{"outcome", "not_run"}});
+    counter(r, "papayahook_refusals_total", "Requests without an answer",
+            n.refused_unknown, {{"outcome", "outcome_unknown"}});
+    counter(r, "papayahook_broken_answers_total",
+            "Answers that ended in an error event", n.failed_answers);
+    counter(r, "papayahook_dispatches_total", "Calls to endpoints",
+            n.dispatches);
+    counter(r, "papayahook_retries_total", "Calls after a failed one",
+            n.retries);
+    counter(r, "papayahook_resumed_streams_total",
+            "Streams that went on at another endpoint", n.resumed_streams);
+    counter(r, "papayahook_recomputed_tokens_total",
+            "Tokens computed again for resumed streams", n.tokens_recomputed);
+    counter(r, "papayahook_log_appends_total", "Appends to the log", n.appends);
+    counter(r, "papayahook_claims_total", "Claims of idempotency keys",
+            n.claims);
+    counter(r, "papayahook_peer_messages_total", "Messages sent to peers",
+            n.peer_messages);
+    counter(r, "papayahook_peer_bytes_total", "Bytes on links to peers",
+            links.sent, {{"direction", "sent"}});
+    counter(r, "papayahook_peer_bytes_total", "Bytes on links to peers",
+            links.received, {{"direction", "received"}});
+    gauge(r, "papayahook_config_offset", "Highest configuration offset",
+          static_cast<double>(s.config.applied));
+    gauge(r, "papayahook_open_calls", "Calls in flight",
+          static_cast<double>(s.calls.size()));
+    gauge(r, "papayahook_log_reachable", "1 when the log answers",
+          s.log_reachable ? 1 : 0);
+    gauge(r, "papayahook_leaving", "1 when the node is leaving",
+          s.leaving ? 1 : 0);
+    gauge(r, "papayahook_peer_links", "Open links",
+          static_cast<double>(s.peers.size()));
+    return prometheus::TextSerializer().Serialize(r.Collect());
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/node.cpp
@@ -0,0 +1,268 @@
+// The loop of a node: events in, effects carried out.
+#include "runtime/node.hpp"
+
+#include "codec/json.hpp"
+#include "papayahook/run.hpp"
+#include "runtime/logging.hpp"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <csignal>
+#include <iostream>
+
+namespace papayahook::runtime {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tick_period = 50ms;
+constexpr auto redial_period = 1s;
+
+std::string proof_of(node const& n, core::hello const& it)
+{
+    return n.set.peer_keys.empty()
+               ? std::string{}
+               : codec::hello_proof(n.set.peer_keys.front(), it);
+}
+
+bool proof_holds(node const& n, core::hello const& it)
+{
+    return n.set.peer_keys.empty() ||
+           std::ranges::any_of(n.set.peer_keys, [&](auto const& key) {
+               return codec::hello_proof(key, it) == it.proof;
+           });
+}
+
+void perform(node& n, core::send_peer const& it)
+{
+    auto message = it.message;
+    if (auto* const hello = std::get_if<core::hello>(&message))
+        hello->proof = proof_of(n, *hello);
+    n.links->send(it.link, codec::message_to_cbor(message));
+}
+
+void perform(node& n, core::close_peer const& it)
+{
+    n.links->close(it.link);
+}
+
+void perform(node&, core::log_event const& it)
+{
+    write_log(it);
+}
+
+void perform(node& n, core::exit_process const&)
+{
+    n.io.stop();
+}
+
+void on_peer_bytes(node& n, link_id link, std::string const& bytes)
+{
+    core::peer_message message;
+    try {
+        message = codec::message_from_cbor(bytes);
+    }
+    catch (std::invalid_argument const& e) {
+        write_log(
+            {events::bad_peer_message, std::to_string(link), "", e.what()});
+        n.links->close(link);
+        return;
+    }
+    auto const* const hello = std::get_if<core::hello>(&message);
+    if (hello != nullptr && !proof_holds(n, *hello)) {
+        write_log({events::peer_proof_wrong, hello->node, "", ""});
+        n.links->close(link);
+        return;
+    }
+    handle(n, core::peer_received{link, std::move(message)});
+}
+
+void on_link_closed(node& n, link_id link)
+{
+    auto const it = n.dialled_as.find(link);
+    if (it != n.dialled_as.end()) {
+        n.dialled.erase(it->second);
+        n.dialled_as.erase(it);
+    }
+    handle(n, core::peer_closed{link});
+}
+
+void dial_peers(node& n)
+{
+    std::vector<std::string> names;
+    std::ranges::transform(n.set.peers, std::back_inserter(names),
+                           &peer_setting::name);
+    auto const wanted =
+        core::links_to_dial(n.set.core.name, names, n.set.link_degree);
+    for (auto const& peer : n.set.peers) {
+        bool const dial =
+            std::ranges::find(wanted, peer.name) != wanted.end() &&
+            !n.dialled.contains(peer.name);
+        if (!dial)
+            continue;
+        auto const link = n.links->connect(peer.address);
+        n.dialled[peer.name] = link;
+        n.dialled_as[link] = peer.name;
+    }
+    after(n, redial_period, [&n] { dial_peers(n); });
+}
+
+void tick(node& n)
+{
+    handle(n, core::tick{});
+    forget_old_requests(n);
+    n.ticker.expires_after(tick_period);
+    n.ticker.async_wait([&n](auto ec) {
+        if (!ec)
+            tick(n);
+    });
+}
+
+void wait_for_signal(node& n)
+{
+    n.signals.async_wait([&n](auto ec, int) {
+        if (ec)
+            return;
+        if (++n.signals_seen > 1) {
+            n.io.stop();
+            return;
+        }
+        handle(n, core::shutdown_requested{});
+        wait_for_signal(n);
+    });
+}
+
+void open_listeners(node& n)
+{
+    http_server_options options;
+    options.address = n.set.caller.ip;
+    options.port = n.set.caller.port;
+    options.max_body_bytes = n.set.max_body_bytes;
+    options.max_header_bytes = n.set.max_header_bytes;
+    options.max_header_count = n.set.max_header_count;
+    options.max_connections = n.set.max_connections;
+    options.idle_timeout = n.set.idle_timeout;
+    options.write_timeout = n.set.write_timeout;
+    options.on_close = [&n](auto id) {
+        asio::post(n.io, [&n, id] { on_caller_closed(n, id); });
+    };
+    n.callers = std::make_unique<http_server>(
+        n.io, options, [&n](http_request in, responder_ptr out) {
+            on_caller_request(n, std::move(in), std::move(out));
+        });
+    options.address = n.set.admin.ip;
+    options.port = n.set.admin.port;
+    options.on_close = nullptr;
+    n.admin = std::make_unique<http_server>(
+        n.io, options, [&n](http_request in, responder_ptr out) {
+            on_admin_request(n, in, out);
+        });
+    link_handlers handlers;
+    handlers.on_open = [&n](link_id it, bool) {
+        handle(n, core::peer_opened{it});
+    };
+    handlers.on_message = [&n](link_id it, std::string const& bytes) {
+        on_peer_bytes(n, it, bytes);
+    };
+    handlers.on_close = [&n](link_id it, std::string const&) {
+        on_link_closed(n, it);
+    };
+    n.links = std::make_unique<peer_links>(n.io, n.set.peer.ip, n.set.peer.port,
+                                           n.set.max_peer_message_bytes,
+                                           std::move(handlers));
+}
+
+} // namespace
+
+node::node(settings it)
+    : set(std::move(it)), wall_at_start(std::chrono::system_clock::now()),
+      steady_at_start(std::chrono::steady_clock::now()), client(io),
+      signals(io, SIGTERM, SIGINT), ticker(io)
+{
+    state.settings = set.core;
+    state.settings.incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            wall_at_start.time_since_epoch())
+            .count());
+}
+
+// The wall clock of the start, moved on by the steady clock: a later step of
+// the wall clock moves no deadline.
+core::time_point now(node const& n)
+{
+    auto const run = std::chrono::steady_clock::now() - n.steady_at_start;
+    return std::chrono::time_point_cast<core::duration>(
+        n.wall_at_start +
+        std::chrono::duration_cast<std::chrono::system_clock::duration>(run));
+}
+
+void after(node& n, std::chrono::milliseconds delay, std::function<void()> act)
+{
+    auto timer = std::make_shared<asio::steady_timer>(n.io, delay);
+    timer->async_wait([timer, act = std::move(act)](auto ec) {
+        if (!ec)
+            act();
+    });
+}
+
+// Carrying out an effect may bring the next event at once; it waits its turn.
+void handle(node& n, event_body what)
+{
+    n.events.push_back({now(n), std::move(what)});
+    if (n.handling)
+        return;
+    n.handling = true;
+    while (!n.events.empty()) {
+        auto const it = std::move(n.events.front());
+        n.events.pop_front();
+        if (n.record.is_open())
+            n.record << codec::event_to_line(it) << '\n';
+        core::effects out;
+        core::reduce(n.state, it, out);
+        for (auto const& effect : out)
+            std::visit([&n](auto const& e) { perform(n, e); }, effect);
+    }
+    n.handling = false;
+}
+
+} // namespace papayahook::runtime
+
+namespace papayahook {
+
+int run_node(std::string const& settings_file)
+{
+    using namespace runtime;
+    auto it = read_settings(settings_file);
+    start_logging(it);
+    int result = 0;
+    try {
+        node n(std::move(it));
+        if (!n.set.record_file.empty()) {
+            n.record.open(n.set.record_file);
+            n.record << codec::settings_to_line(n.state.settings) << '\n';
+        }
+        open_listeners(n);
+        write_log({events::node_started, n.set.core.name, "",
+                   "caller " + n.set.caller.text() + " admin " +
+                       n.set.admin.text() + " peer " + n.set.peer.text()});
+        wait_for_signal(n);
+        read_log(n, "config");
+        read_log(n, "claims");
+        read_instances(n);
+        poll_endpoints(n);
+        dial_peers(n);
+        tick(n);
+        n.io.run();
+        write_log({events::node_stopped, n.set.core.name, "", ""});
+        result = n.signals_seen > 1 ? 1 : 0;
+    }
+    catch (std::system_error const& e) {
+        std::cerr << settings_file << ": listen: " << e.what() << '\n';
+        result = 2;
+    }
+    stop_logging();
+    return result;
+}
+
+} // namespace papayahook
--- /dev/null
+++ b/src/runtime/node.hpp
@@ -0,0 +1,106 @@
+// One running node: the core's state and all that carries out its effects.
+#pragma once
+
+#include "runtime/caller_api.hpp"
+#include "runtime/http_client.hpp"
+#include "runtime/http_server.hpp"
+#include "runtime/peer_links.hpp"
+#include "runtime/settings.hpp"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <fstream>
+
+namespace papayahook::runtime {
+
+// A caller's side of a request. Outlives the connection while the answer can
+// be re-attached.
+struct open_request
+{
+    http_request asked; // kept for retries
+    std::string key_digest;
+    answer_form form = answer_form::plain;
+    std::string path;
+    responder_ptr out; // empty when no caller is attached
+    std::uint64_t connection_id = 0;
+    int status = 0; // 0: no head yet
+    std::string content_type;
+    bool streaming = false; // the head is on the wire
+    bool flush_posted = false;
+    std::vector<std::string> pending; // chunks not yet written
+    std::uint64_t next_index = 0;     // of the chunk after `pending`
+};
+
+// The endpoint's side of a call.
+struct open_call
+{
+    std::uint64_t transfer = 0; // id in the client
+    bool model = false;
+    std::string line;             // incomplete event line of a runner
+    std::uint64_t next_index = 0; // of the next chunk
+    bool done_seen = false;       // the runner's end mark
+    bool raw = false;             // body passed as it is
+};
+
+struct node
+{
+    explicit node(settings it);
+
+    settings set;
+    asio::io_context io;
+    core::node_state state;
+    std::chrono::system_clock::time_point wall_at_start;
+    std::chrono::steady_clock::time_point steady_at_start;
+    http_client client;
+    std::unique_ptr<http_server> callers;
+    std::unique_ptr<http_server> admin;
+    std::unique_ptr<peer_links> links;
+    asio::signal_set signals;
+    asio::steady_timer ticker;
+    std::deque<core::event> events; // waiting while one is being handled
+    bool handling = false;
+    int signals_seen = 0;
+    std::uint64_t next_request = 1;
+    std::map<core::request_id, open_request> requests;
+    std::map<core::call_id, open_call> calls;
+    std::map<std::string, link_id> dialled;    // by peer name
+    std::map<link_id, std::string> dialled_as; // and back
+    std::size_t next_poll = 0;                 // endpoint to ask for its load
+    int log_failures = 0;                      // in a row
+    std::ofstream record;
+};
+
+// node.cpp
+core::time_point now(node const& n);
+using event_body = decltype(core::event::what);
+void handle(node& n, event_body what);
+void after(node& n, std::chrono::milliseconds delay, std::function<void()> act);
+
+// callers.cpp
+void on_caller_request(node& n, http_request in, responder_ptr out);
+void on_caller_closed(node& n, std::uint64_t connection_id);
+void perform(node& n, core::refuse const& it);
+void perform(node& n, core::send_head const& it);
+void perform(node& n, core::send_chunk const& it);
+void perform(node& n, core::finish_answer const& it);
+void perform(node& n, core::fail_answer const& it);
+void forget_old_requests(node& n);
+
+// endpoints.cpp
+void perform(node& n, core::dispatch const& it);
+void perform(node& n, core::cancel_call const& it);
+void perform(node& n, core::pause_call const& it);
+void perform(node& n, core::resume_call const& it);
+void poll_endpoints(node& n);
+
+// platform.cpp
+void perform(node& n, core::append const& it);
+void read_log(node& n, std::string const& stream);
+void read_instances(node& n);
+
+// admin.cpp
+void on_admin_request(node& n, http_request const& in,
+                      responder_ptr const& out);
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/peer_links.cpp
@@ -0,0 +1,168 @@
+#include "runtime/peer_links.hpp"
+
+#include <map>
+#include <system_error>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace papayahook::runtime {
+
+namespace {
+
+using server = websocketpp::server<websocketpp::config::asio>;
+using client = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+constexpr long open_timeout_ms = 1'500;
+constexpr std::size_t frame_overhead_bytes = 8;
+
+} // namespace
+
+struct peer_links::impl
+{
+    server incoming;
+    client outgoing;
+    link_handlers handlers;
+    link_id next_id = 1;
+    std::map<link_id, connection_hdl> server_side;
+    std::map<link_id, connection_hdl> client_side;
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    bool stopped = false;
+
+    template <class Endpoint>
+    void prepare(Endpoint& it, asio::io_context& io, std::size_t max_bytes)
+    {
+        it.clear_access_channels(websocketpp::log::alevel::all);
+        it.clear_error_channels(websocketpp::log::elevel::all);
+        it.init_asio(&io);
+        it.set_open_handshake_timeout(open_timeout_ms);
+        it.set_max_message_size(max_bytes);
+        it.set_tcp_post_init_handler([&it](connection_hdl hdl) {
+            websocketpp::lib::error_code ec;
+            auto const con = it.get_con_from_hdl(hdl, ec);
+            asio::error_code ignored;
+            if (!ec)
+                con->get_raw_socket().set_option(asio::ip::tcp::no_delay(true),
+                                                 ignored);
+        });
+    }
+
+    template <class Connection>
+    void attach(Connection const& con, link_id id)
+    {
+        con->set_message_handler([this, id](connection_hdl, auto msg) {
+            received += msg->get_payload().size() + frame_overhead_bytes;
+            if (!stopped)
+                handlers.on_message(id, msg->get_payload());
+        });
+        con->set_close_handler(
+            [this, id](connection_hdl) { closed(id, "closed"); });
+        con->set_fail_handler([this, id, con](connection_hdl) {
+            closed(id, con->get_ec().message());
+        });
+    }
+
+    void closed(link_id id, std::string const& reason)
+    {
+        server_side.erase(id);
+        client_side.erase(id);
+        if (!stopped)
+            handlers.on_close(id, reason);
+    }
+};
+
+peer_links::peer_links(asio::io_context& io, std::string const& address,
+                       std::uint16_t port, std::size_t max_message_bytes,
+                       link_handlers handlers)
+    : impl_(std::make_shared<impl>())
+{
+    auto& it = *impl_;
+    it.handlers = std::move(handlers);
+    it.prepare(it.incoming, io, max_message_bytes);
+    it.prepare(it.outgoing, io, max_message_bytes);
+    it.incoming.set_reuse_addr(true);
+    // Handlers are copied into a connection when it is made: the validate
+    // handler is the first that sees it, so the link's own are set there.
+    it.incoming.set_validate_handler([&it](connection_hdl hdl) {
+        auto const con = it.incoming.get_con_from_hdl(hdl);
+        auto const id = it.next_id++;
+        it.attach(con, id);
+        con->set_open_handler([&it, id](connection_hdl open) {
+            it.server_side[id] = open;
+            if (!it.stopped)
+                it.handlers.on_open(id, false);
+        });
+        return true;
+    });
+    websocketpp::lib::error_code ec;
+    auto const ip = asio::ip::make_address(address);
+    it.incoming.listen(asio::ip::tcp::endpoint(ip, port), ec);
+    if (ec)
+        throw std::system_error(ec, "peer address " + address);
+    it.incoming.start_accept();
+}
+
+peer_links::~peer_links()
+{
+    impl_->stopped = true;
+    websocketpp::lib::error_code ec;
+    impl_->incoming.stop_listening(ec);
+}
+
+link_id peer_links::connect(std::string const& address)
+{
+    auto& it = *impl_;
+    websocketpp::lib::error_code ec;
+    auto const con = it.outgoing.get_connection("ws://" + address + "/", ec);
+    auto const id = it.next_id++;
+    if (ec)
+        return id;
+    it.attach(con, id);
+    con->set_open_handler([&it, id](connection_hdl open) {
+        it.client_side[id] = open;
+        if (!it.stopped)
+            it.handlers.on_open(id, true);
+    });
+    it.outgoing.connect(con);
+    return id;
+}
+
+void peer_links::send(link_id link, std::string const& message)
+{
+    constexpr auto binary = websocketpp::frame::opcode::binary;
+    websocketpp::lib::error_code ec;
+    auto& it = *impl_;
+    if (auto n = it.server_side.find(link); n != it.server_side.end())
+        it.incoming.send(n->second, message, binary, ec);
+    else if (auto m = it.client_side.find(link); m != it.client_side.end())
+        it.outgoing.send(m->second, message, binary, ec);
+    else
+        return;
+    it.sent += message.size() + frame_overhead_bytes;
+}
+
+void peer_links::close(link_id link)
+{
+    constexpr auto going_away = websocketpp::close::status::going_away;
+    websocketpp::lib::error_code ec;
+    auto& it = *impl_;
+    if (auto n = it.server_side.find(link); n != it.server_side.end())
+        it.incoming.close(n->second, going_away, "", ec);
+    else if (auto m = it.client_side.find(link); m != it.client_side.end())
+        it.outgoing.close(m->second, going_away, "", ec);
+}
+
+std::uint64_t peer_links::bytes_sent() const
+{
+    return impl_->sent;
+}
+
+std::uint64_t peer_links::bytes_received() const
+{
+    return impl_->received;
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/peer_links.hpp
@@ -0,0 +1,42 @@
+// WebSocket links between nodes. Compiled as C++17; websocketpp stays in the
+// source file.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace papayahook::runtime {
+
+using link_id = std::uint64_t;
+
+struct link_handlers
+{
+    std::function<void(link_id, bool outgoing)> on_open;
+    std::function<void(link_id, std::string const& message)> on_message;
+    std::function<void(link_id, std::string const& reason)> on_close;
+};
+
+class peer_links
+{
+public:
+    // Throws std::system_error when the address cannot be bound.
+    peer_links(asio::io_context& io, std::string const& address,
+               std::uint16_t port, std::size_t max_message_bytes,
+               link_handlers handlers);
+    ~peer_links();
+
+    link_id connect(std::string const& address); // "ip:port"
+    void send(link_id link, std::string const& message);
+    void close(link_id link);
+    std::uint64_t bytes_sent() const;
+    std::uint64_t bytes_received() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/platform.cpp
@@ -0,0 +1,134 @@
+// The platform's log and list of instances.
+#include "codec/json.hpp"
+#include "runtime/logging.hpp"
+#include "runtime/node.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace papayahook::runtime {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int failures_until_lost = 2; // reads in a row
+constexpr auto reread_delay = 200ms;
+constexpr int read_batch = 1024; // entries
+
+void log_answered(node& n, bool ok)
+{
+    n.log_failures = ok ? 0 : n.log_failures + 1;
+    if (ok || n.log_failures >= failures_until_lost)
+        handle(n, core::log_reachable{ok});
+}
+
+void on_read(node& n, std::string const& stream, http_result const& result,
+             std::string const& body)
+{
+    bool const answered = !result.error && result.status == 200;
+    auto delay = answered ? 0ms : reread_delay;
+    if (answered) {
+        try {
+            handle(n, codec::read_from_json(stream, body));
+            log_answered(n, true);
+        }
+        catch (std::invalid_argument const& e) {
+            write_log({events::log_answer_unreadable, stream, "log", e.what()});
+            delay = reread_delay;
+            log_answered(n, false);
+        }
+    }
+    else {
+        log_answered(n, false);
+    }
+    after(n, delay, [&n, stream] { read_log(n, stream); });
+}
+
+void on_list(node& n, http_result const& result, std::string const& body)
+{
+    auto const j = nlohmann::json::parse(body, nullptr, false);
+    if (result.error || result.status != 200 || !j.is_object())
+        return;
+    core::instance_list list;
+    try {
+        for (auto const& it : j.at("instances"))
+            list.instances.push_back({it.at("endpoint"),
+                                      it.value("incarnation", ""),
+                                      it.value("leaving", false)});
+    }
+    catch (nlohmann::json::exception const&) {
+        return;
+    }
+    handle(n, std::move(list));
+}
+
+std::shared_ptr<std::string> collect_body(http_call& call)
+{
+    auto body = std::make_shared<std::string>();
+    call.on_data = [body](std::string_view data) {
+        *body += data;
+    };
+    return body;
+}
+
+} // namespace
+
+void read_log(node& n, std::string const& stream)
+{
+    bool const config = stream == "config";
+    auto const applied = config ? n.state.config.applied : n.state.once.applied;
+    // The first read must not wait: a new node needs to know where the end
+    // is before it may take claims.
+    bool const wait = config ? applied != 0 : n.state.once.caught_up;
+    http_call call;
+    call.url = "http://" + n.set.log_address + "/streams/" + stream +
+               "/read?from=" + std::to_string(applied + 1) +
+               "&max=" + std::to_string(read_batch) +
+               "&wait_ms=" + std::to_string(wait ? n.set.log_poll.count() : 0);
+    call.connect_timeout = n.set.connect_timeout;
+    call.total_timeout = n.set.log_poll + n.set.log_timeout;
+    auto const body = collect_body(call);
+    call.on_done = [&n, stream, body](http_result const& result) {
+        on_read(n, stream, result, *body);
+    };
+    n.client.start(std::move(call));
+}
+
+void perform(node& n, core::append const& it)
+{
+    http_call call;
+    call.method = "POST";
+    call.url =
+        "http://" + n.set.log_address + "/streams/" + it.stream + "/append";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = codec::append_to_json(it);
+    call.connect_timeout = n.set.connect_timeout;
+    call.total_timeout = n.set.log_timeout;
+    auto const number = it.append;
+    call.on_done = [&n, number](http_result const& result) {
+        bool const ok = !result.error && result.status == 200;
+        // 429 and 503: the log says that it took nothing.
+        bool const refused = result.status == 429 || result.status == 503;
+        bool const in_doubt = !ok && result.may_have_run && !refused;
+        handle(n, core::append_done{number, ok, in_doubt});
+    };
+    n.client.start(std::move(call));
+}
+
+void read_instances(node& n)
+{
+    if (n.set.instances_address.empty())
+        return;
+    http_call call;
+    call.url = "http://" + n.set.instances_address + "/instances";
+    call.connect_timeout = n.set.connect_timeout;
+    call.total_timeout = n.set.log_timeout;
+    auto const body = collect_body(call);
+    call.on_done = [&n, body](http_result const& result) {
+        on_list(n, result, *body);
+        after(n, n.set.list_period, [&n] { read_instances(n); });
+    };
+    n.client.start(std::move(call));
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/settings.cpp
@@ -0,0 +1,250 @@
+#include "runtime/settings.hpp"
+
+#include "codec/toml_reader.hpp"
+
+#include <algorithm>
+#include <array>
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace papayahook::runtime {
+
+namespace {
+
+using codec::table_reader;
+using namespace std::chrono_literals;
+
+constexpr std::size_t least_key_bytes = 16;
+
+address parse_address(table_reader& it, std::string_view key)
+{
+    auto const text = it.required_text(key);
+    auto const colon = text.rfind(':');
+    address out;
+    out.ip = text.substr(0, colon);
+    std::error_code ec;
+    asio::ip::make_address(out.ip, ec);
+    auto const digits =
+        colon == text.npos ? std::string{} : text.substr(colon + 1);
+    auto const [end, port_ec] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), out.port);
+    bool const sound = !ec && port_ec == std::errc{} && !digits.empty() &&
+                       end == digits.data() + digits.size() && out.port != 0;
+    if (!sound)
+        it.fail(key, "\"IP:PORT\" by number is expected");
+    return out;
+}
+
+// A table that may be left out reads as an empty one.
+table_reader section(table_reader& top, std::string const& file,
+                     std::string_view name)
+{
+    static toml::table const empty;
+    auto it = top.table(name);
+    return it ? *it : table_reader(file, empty, std::string(name));
+}
+
+template <class T>
+void read_count(table_reader& it, std::string_view key, T& value,
+                std::int64_t most)
+{
+    value = static_cast<T>(
+        it.integer(key, static_cast<std::int64_t>(value), 1, most));
+}
+
+template <class Duration>
+void read_time(table_reader& it, std::string_view key, Duration& value,
+               std::chrono::hours most)
+{
+    auto const ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(value);
+    value = std::chrono::duration_cast<Duration>(
+        it.milliseconds(key, ms, 1ms, most));
+}
+
+void read_node(table_reader it, settings& out)
+{
+    out.core.name = it.required_text("name");
+    out.core.zone = it.required_text("zone");
+    if (out.core.name.find_first_of("./ ") != std::string::npos)
+        it.fail("name", "a name without dots, slashes and spaces is expected");
+    it.finish();
+}
+
+void read_listen(table_reader it, settings& out)
+{
+    out.caller = parse_address(it, "caller");
+    out.admin = parse_address(it, "admin");
+    out.peer = parse_address(it, "peer");
+    out.core.caller_address = out.caller.text();
+    it.finish();
+}
+
+void read_platform(table_reader it, settings& out)
+{
+    out.log_address = parse_address(it, "log").text();
+    if (!it.text("instances", "").empty())
+        out.instances_address = parse_address(it, "instances").text();
+    it.finish();
+}
+
+void read_limits(table_reader it, settings& out)
+{
+    constexpr std::int64_t million = 1'000'000;
+    constexpr std::int64_t gigabyte = 1LL << 30;
+    read_count(it, "max_queue", out.core.max_queue, million);
+    read_count(it, "max_backlog", out.core.max_backlog, million);
+    read_count(it, "max_attempts", out.core.max_attempts, 100);
+    out.core.retry_budget =
+        it.number("retry_budget", out.core.retry_budget, 0, 1);
+    read_count(it, "claim_batch", out.core.claim_batch, 10'000);
+    read_count(it, "max_shared_body", out.core.max_shared_body, gigabyte);
+    read_count(it, "max_shared_bytes", out.core.max_shared_bytes, gigabyte);
+    read_count(it, "max_body_bytes", out.max_body_bytes, gigabyte);
+    read_count(it, "max_header_bytes", out.max_header_bytes, million);
+    read_count(it, "max_header_count", out.max_header_count, 10'000);
+    read_count(it, "max_connections", out.max_connections, million);
+    read_count(it, "max_peer_message_bytes", out.max_peer_message_bytes,
+               gigabyte);
+    read_count(it, "link_degree", out.link_degree, 64);
+    read_count(it, "checkpoint_every", out.core.checkpoint_every, million);
+    out.polls_per_second =
+        it.number("polls_per_second", out.polls_per_second, 0.1, 1000);
+    it.finish();
+}
+
+void read_timeouts(table_reader it, settings& out)
+{
+    read_time(it, "hop_cost_ms", out.core.hop_cost, 1h);
+    read_time(it, "endpoint_pause_ms", out.core.endpoint_pause, 1h);
+    read_time(it, "report_horizon_ms", out.core.report_horizon, 1h);
+    read_time(it, "heartbeat_period_ms", out.core.heartbeat_period, 1h);
+    read_time(it, "peer_timeout_ms", out.core.peer_timeout, 1h);
+    read_time(it, "stage_time_ms", out.core.stage_time, 24h);
+    read_time(it, "move_margin_ms", out.core.move_margin, 24h);
+    read_time(it, "answer_linger_ms", out.core.answer_linger, 24h);
+    read_time(it, "append_retry_ms", out.core.append_retry, 1h);
+    read_time(it, "claim_horizon_s", out.core.claim_horizon, 24h * 30);
+    read_time(it, "checkpoint_period_s", out.core.checkpoint_period, 24h);
+    read_time(it, "idle_timeout_ms", out.idle_timeout, 24h);
+    read_time(it, "write_timeout_ms", out.write_timeout, 24h);
+    read_time(it, "connect_timeout_ms", out.connect_timeout, 1h);
+    read_time(it, "log_timeout_ms", out.log_timeout, 1h);
+    read_time(it, "log_poll_ms", out.log_poll, 1h);
+    read_time(it, "list_period_ms", out.list_period, 1h);
+    it.finish();
+}
+
+std::string read_key_file(table_reader& it, std::string const& key,
+                          std::string const& path)
+{
+    std::ifstream in(path);
+    std::string line;
+    std::getline(in, line);
+    if (line.size() < least_key_bytes)
+        it.fail(key, "a file whose first line has at least 16 characters is "
+                     "expected");
+    return line;
+}
+
+void read_security(table_reader it, settings& out)
+{
+    for (auto const& path : it.texts("peer_key_files"))
+        out.peer_keys.push_back(read_key_file(it, "peer_key_files", path));
+    it.finish();
+}
+
+void read_logging(table_reader it, settings& out)
+{
+    constexpr std::array levels{"error", "warn", "info", "debug"};
+    out.log_level = it.text("level", out.log_level);
+    if (std::ranges::find(levels, out.log_level) == levels.end())
+        it.fail("level", "error, warn, info or debug is expected");
+    out.log_file = it.text("file", "");
+    out.record_file = it.text("record_events", "");
+    it.finish();
+}
+
+} // namespace
+
+settings read_settings(std::string const& file)
+{
+    auto const parsed = codec::parse_toml(file);
+    table_reader top(file, parsed, "");
+    settings out;
+    read_node(section(top, file, "node"), out);
+    read_listen(section(top, file, "listen"), out);
+    read_platform(section(top, file, "platform"), out);
+    read_limits(section(top, file, "limits"), out);
+    read_timeouts(section(top, file, "timeouts"), out);
+    read_security(section(top, file, "security"), out);
+    read_logging(section(top, file, "logging"), out);
+    for (auto& it : top.tables("peer")) {
+        peer_setting peer;
+        peer.name = it.required_text("name");
+        peer.address = parse_address(it, "address").text();
+        it.finish();
+        if (peer.name == out.core.name)
+            it.fail("name", "this node itself is not its peer");
+        out.peers.push_back(std::move(peer));
+    }
+    top.finish();
+    return out;
+}
+
+std::string show_settings(settings const& it)
+{
+    std::ostringstream out;
+    auto const ms = [](auto const& value) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(value)
+            .count();
+    };
+    out << "[node]\nname = \"" << it.core.name << "\"\nzone = \""
+        << it.core.zone << "\"\n\n[listen]\ncaller = \"" << it.caller.text()
+        << "\"\nadmin = \"" << it.admin.text() << "\"\npeer = \""
+        << it.peer.text() << "\"\n\n[platform]\nlog = \"" << it.log_address
+        << "\"\n";
+    if (!it.instances_address.empty())
+        out << "instances = \"" << it.instances_address << "\"\n";
+    out << "\n[limits]\nmax_queue = " << it.core.max_queue
+        << "\nmax_backlog = " << it.core.max_backlog
+        << "\nmax_attempts = " << it.core.max_attempts
+        << "\nretry_budget = " << it.core.retry_budget
+        << "\nclaim_batch = " << it.core.claim_batch
+        << "\nmax_shared_body = " << it.core.max_shared_body
+        << "\nmax_shared_bytes = " << it.core.max_shared_bytes
+        << "\nmax_body_bytes = " << it.max_body_bytes
+        << "\nmax_header_bytes = " << it.max_header_bytes
+        << "\nmax_header_count = " << it.max_header_count
+        << "\nmax_connections = " << it.max_connections
+        << "\nmax_peer_message_bytes = " << it.max_peer_message_bytes
+        << "\nlink_degree = " << it.link_degree
+        << "\ncheckpoint_every = " << it.core.checkpoint_every
+        << "\npolls_per_second = " << it.polls_per_second
+        << "\n\n[timeouts]\nhop_cost_ms = " << ms(it.core.hop_cost)
+        << "\nendpoint_pause_ms = " << ms(it.core.endpoint_pause)
+        << "\nreport_horizon_ms = " << ms(it.core.report_horizon)
+        << "\nheartbeat_period_ms = " << ms(it.core.heartbeat_period)
+        << "\npeer_timeout_ms = " << ms(it.core.peer_timeout)
+        << "\nstage_time_ms = " << ms(it.core.stage_time)
+        << "\nmove_margin_ms = " << ms(it.core.move_margin)
+        << "\nanswer_linger_ms = " << ms(it.core.answer_linger)
+        << "\nappend_retry_ms = " << ms(it.core.append_retry)
+        << "\nclaim_horizon_s = " << ms(it.core.claim_horizon) / 1000
+        << "\ncheckpoint_period_s = " << ms(it.core.checkpoint_period) / 1000
+        << "\nidle_timeout_ms = " << ms(it.idle_timeout)
+        << "\nwrite_timeout_ms = " << ms(it.write_timeout)
+        << "\nconnect_timeout_ms = " << ms(it.connect_timeout)
+        << "\nlog_timeout_ms = " << ms(it.log_timeout)
+        << "\nlog_poll_ms = " << ms(it.log_poll)
+        << "\nlist_period_ms = " << ms(it.list_period)
+        << "\n\n[logging]\nlevel = \"" << it.log_level << "\"\n";
+    for (auto const& peer : it.peers)
+        out << "\n[[peer]]\nname = \"" << peer.name << "\"\naddress = \""
+            << peer.address << "\"\n";
+    return out.str();
+}
+
+} // namespace papayahook::runtime
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/support/processes.cpp
@@ -0,0 +1,155 @@
+#include "support/processes.hpp"
+
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+extern char** environ;
+
+namespace papayahook::support {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto wait_step = 5ms;
+constexpr auto end_limit = 2s;
+constexpr int still_running = -1;
+
+int exit_code(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+} // namespace
+
+process::process(std::vector<std::string> const& args, std::string const& log)
+{
+    std::vector<char*> argv;
+    for (auto const& it : args)
+        argv.push_back(const_cast<char*>(it.c_str()));
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    int const failed =
+        posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0)
+        throw std::runtime_error("cannot start " + args.at(0));
+}
+
+process::process(process&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1)), status_(other.status_)
+{
+}
+
+process& process::operator=(process&& other) noexcept
+{
+    std::swap(pid_, other.pid_);
+    std::swap(status_, other.status_);
+    return *this;
+}
+
+process::~process()
+{
+    if (!runs())
+        return;
+    ::kill(pid_, SIGCONT);
+    ::kill(pid_, SIGKILL);
+    wait(end_limit);
+}
+
+void process::signal(int number)
+{
+    if (runs())
+        ::kill(pid_, number);
+}
+
+bool process::runs()
+{
+    return pid_ > 0 && wait(0ms) == still_running;
+}
+
+int process::wait(std::chrono::milliseconds limit)
+{
+    if (pid_ <= 0 || status_ >= 0)
+        return status_;
+    auto const until = std::chrono::steady_clock::now() + limit;
+    for (;;) {
+        int status = 0;
+        if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+            status_ = exit_code(status);
+            return status_;
+        }
+        if (std::chrono::steady_clock::now() >= until)
+            return still_running;
+        std::this_thread::sleep_for(wait_step);
+    }
+}
+
+std::string program(std::string const& name)
+{
+    return std::string(PAPAYAHOOK_BIN_DIR) + "/" + name;
+}
+
+std::string make_folder(std::string const& prefix)
+{
+    auto pattern =
+        (std::filesystem::temp_directory_path() / (prefix + "-XXXXXX"))
+            .string();
+    if (::mkdtemp(pattern.data()) == nullptr)
+        throw std::runtime_error("cannot make " + pattern);
+    return pattern;
+}
+
+std::uint16_t free_port()
+{
+    int const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof at;
+    auto* const generic = reinterpret_cast<sockaddr*>(&at);
+    bool const bound =
+        ::bind(fd, generic, n) == 0 && ::getsockname(fd, generic, &n) == 0;
+    ::close(fd);
+    if (!bound)
+        throw std::runtime_error("no free port");
+    return ntohs(at.sin_port);
+}
+
+usage usage_of(pid_t pid)
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    auto const close = text.rfind(')');
+    if (close == text.npos)
+        return {};
+    std::istringstream fields(text.substr(close + 2));
+    std::vector<std::string> all;
+    for (std::string it; fields >> it;)
+        all.push_back(it);
+    // Fields 14, 15 and 24 of proc(5); the first here is field 3.
+    auto const ticks = std::stol(all.at(11)) + std::stol(all.at(12));
+    auto const pages = std::stol(all.at(21));
+    return {std::chrono::milliseconds(ticks * 1000 / ::sysconf(_SC_CLK_TCK)),
+            static_cast<std::size_t>(pages * ::sysconf(_SC_PAGESIZE))};
+}
+
+} // namespace papayahook::support
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Formatter, linter and the check of the log catalogue. Changes nothing.
+set -euo pipefail
+build=${1:-build}
+mapfile -t files < <(git ls-files '*.cpp' '*.hpp')
+clang-format --dry-run --Werror "${files[@]}"
+bash tools/check_events.sh
+git ls-files 'src/*.cpp' 'fakes/*.cpp' |
+    xargs -P 8 -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
+echo "lint: clean"
--- /dev/null
+++ b/tools/setup.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Installs what the build needs where it is missing (Debian 12).
+set -euo pipefail
+packages=(g++ cmake ninja-build ccache librestinio-dev libasio-dev
+    libwebsocketpp-dev prometheus-cpp-dev libcxxopts-dev liblog4cplus-dev
+    catch2 libcurl4-openssl-dev libtomlplusplus-dev nlohmann-json3-dev
+    libxxhash-dev libbenchmark-dev librapidcheck-dev libfmt-dev libssl-dev
+    clang-format clang-tidy valgrind)
+if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
+    exit 0
+fi
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y -qq "${packages[@]}" >/dev/null
