--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -57,6 +57,7 @@
 
 // moves.cpp
 std::string pick_version(node_state& s, request_state& r, route const& it);
+void count_dispatch(node_state& s, request_state const& r);
 void count_answer(node_state& s, request_state const& r, bool bad);
 void note_first_token(node_state& s, request_state const& r,
                       duration first_token);
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -175,7 +175,6 @@
     if (m == nullptr)
         return it.version;
     auto const& schema = r.asked.schema_version;
-    bool const old_takes = has_endpoint(s, it.pool, m->from, schema);
     bool const new_takes = has_endpoint(s, it.pool, m->spec.to, schema);
     bool const first_offer = r.move.empty();
     r.move = m->spec.name;
@@ -188,10 +187,16 @@
 #if PAPAYAHOOK_MUTATION_NO_CANARY_BOUND
     r.counts_new = new_takes && !failed_before;
 #endif
-    (void)old_takes;
     return r.counts_new ? m->spec.to : m->from;
 }
 
+void count_dispatch(node_state& s, request_state const& r)
+{
+    auto* const m = move_of(s, r);
+    if (m != nullptr && r.counts_new)
+        m->sent_to++;
+}
+
 void note_first_token(node_state& s, request_state const& r,
                       duration first_token)
 {
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -156,6 +156,7 @@
     s.calls[r.call] = r.asked.id;
     s.endpoints[endpoint].in_flight++;
     s.counts.dispatches++;
+    count_dispatch(s, r);
     if (first) {
         auto& tokens = s.retry_tokens.try_emplace(r.asked.route, retry_bucket)
                            .first->second;
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -53,7 +53,8 @@
     if (out.idempotency_key.size() > max_key)
         return "Idempotency-Key: at most 255 characters are expected";
     out.schema_version = header_value(in.headers, "X-Schema-Version");
-    out.keep = header_value(in.headers, "X-Keep-Answer") == "1";
+    out.keep =
+        header_value(in.headers, "X-Keep-Answer") == "1" || wants_id_only(in);
     auto const klass = header_value(in.headers, "X-Priority-Class");
     if (!klass.empty()) {
         out.klass = parse_class(klass);
@@ -162,6 +163,12 @@
     return out;
 }
 
+bool wants_id_only(http_request const& in)
+{
+    return header_value(in.headers, "Prefer").find("respond-async") !=
+           std::string_view::npos;
+}
+
 bool is_stream(answer_form form)
 {
     return form == answer_form::chat_stream ||
--- a/src/runtime/caller_api.hpp
+++ b/src/runtime/caller_api.hpp
@@ -35,6 +35,10 @@
 std::variant<parsed_request, bad_request>
 parse_request(http_request const& in, core::request_id const& id);
 
+// The caller asks for 202 and the request's id instead of the answer
+// ("Prefer: respond-async", RFC 7240); it fetches the answer later.
+bool wants_id_only(http_request const& in);
+
 bool is_stream(answer_form form);
 
 // Body of the call to a model runner: the caller's document, streamed, with
--- a/src/runtime/callers.cpp
+++ b/src/runtime/callers.cpp
@@ -122,6 +122,22 @@
     r.connection_id = 0;
 }
 
+// Answers 202 with the id; a request that was refused at once has had its
+// answer already.
+void accept_for_later(node& n, core::request_id const& id)
+{
+    auto const it = n.requests.find(id);
+    if (it == n.requests.end() || it->second.out == nullptr)
+        return;
+    it->second.out->send(202,
+                         {{"Content-Type", "application/json"},
+                          {"X-Request-Id", id},
+                          {"Location", std::string(requests_prefix) + id}},
+                         "{\"request_id\":\"" + id + "\"}");
+    detach(it->second);
+    handle(n, core::caller_gone{id});
+}
+
 // The answer of a request is held by the node that its id names.
 void forward_reattach(node& n, std::string const& target,
                       core::request_id const& id, http_request const& in,
@@ -221,6 +237,7 @@
         return;
     }
     auto& it = std::get<parsed_request>(parsed);
+    bool const id_only = wants_id_only(in);
     open_request r;
     r.connection_id = in.connection_id;
     r.asked = std::move(in);
@@ -230,6 +247,8 @@
     r.out = std::move(out);
     n.requests.emplace(id, std::move(r));
     handle(n, std::move(it.event));
+    if (id_only)
+        accept_for_later(n, id);
 }
 
 void on_caller_closed(node& n, std::uint64_t connection_id)
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -42,6 +42,7 @@
     int status = 0;
     bool head_reported = false;
     bool paused = false;
+    bool cancelled = false; // reports nothing any more
 
     ~transfer()
     {
@@ -55,7 +56,7 @@
     if (t.head_reported)
         return;
     t.head_reported = true;
-    if (t.call.on_head)
+    if (t.call.on_head && !t.cancelled)
         t.call.on_head(t.status, t.headers);
 }
 
@@ -89,7 +90,7 @@
     if (t.paused)
         return CURL_WRITEFUNC_PAUSE;
     report_head(t);
-    if (t.call.on_data)
+    if (t.call.on_data && !t.cancelled)
         t.call.on_data({data, size * n});
     return size * n;
 }
@@ -176,6 +177,7 @@
     CURLM* multi = nullptr;
     asio::steady_timer timer;
     std::uint64_t next_id = 1;
+    bool inside_curl = false; // libcurl refuses calls from its callbacks
     std::map<std::uint64_t, std::unique_ptr<transfer>> transfers;
     std::map<int, std::shared_ptr<watched>> sockets;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -287,7 +289,9 @@
     void act(curl_socket_t fd, int action)
     {
         int running = 0;
+        inside_curl = true;
         curl_multi_socket_action(multi, fd, action, &running);
+        inside_curl = false;
         collect();
     }
 
@@ -304,6 +308,20 @@
         }
     }
 
+    void add(std::uint64_t id)
+    {
+        auto const it = transfers.find(id);
+        if (it != transfers.end() && !it->second->cancelled)
+            curl_multi_add_handle(multi, it->second->easy);
+    }
+
+    void remove(std::uint64_t id)
+    {
+        auto const node = transfers.extract(id);
+        if (!node.empty())
+            curl_multi_remove_handle(multi, node.mapped()->easy);
+    }
+
     void finish(std::uint64_t id, CURLcode code)
     {
         auto node = transfers.extract(id);
@@ -319,7 +337,7 @@
             report_head(t);
         }
         curl_multi_remove_handle(multi, t.easy);
-        if (t.call.on_done)
+        if (t.call.on_done && !t.cancelled)
             t.call.on_done(result);
     }
 };
@@ -338,21 +356,30 @@
     t->id = id;
     t->call = std::move(call);
     configure(*t);
-    auto* easy = t->easy;
     impl_->transfers.emplace(id, std::move(t));
-    curl_multi_add_handle(impl_->multi, easy);
+    if (!impl_->inside_curl) {
+        impl_->add(id);
+        return id;
+    }
+    asio::post(impl_->io, [this, id, alive = impl_->alive] {
+        if (*alive)
+            impl_->add(id);
+    });
     return id;
 }
 
 void http_client::cancel(std::uint64_t id)
 {
-    auto node = impl_->transfers.extract(id);
-    if (node.empty())
+    auto const it = impl_->transfers.find(id);
+    if (it == impl_->transfers.end())
         return;
-    curl_multi_remove_handle(impl_->multi, node.mapped()->easy);
-    // A cancel may come from one of the transfer's own callbacks.
-    auto dead = std::shared_ptr<transfer>(std::move(node.mapped()));
-    asio::post(impl_->io, [dead] {});
+    // A cancel may come from one of the transfer's own callbacks: neither
+    // libcurl nor the callback would bear its removal now.
+    it->second->cancelled = true;
+    asio::post(impl_->io, [this, id, alive = impl_->alive] {
+        if (*alive)
+            impl_->remove(id);
+    });
 }
 
 void http_client::pause(std::uint64_t id)
