Check at-most-once and truthful refusals over generated orders of events

Cause: the claims were proved by two taps only. Two or three reducers now get their effects carried out in a generated order: appends answered, lost, refused or late, runs answered, lost or late, restarts, log outages. Ruled out: a modelled network or clock (the harness only hands effects across). Before: 2 process tests.

--- /dev/null
+++ b/test/streams_test.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/support/world.hpp
@@ -0,0 +1,96 @@
+// Reducers whose effects are carried out in a generated order: delivered,
+// dropped, late, in doubt, or after a restart. No network, clock or fleet.
+#pragma once
+
+#include "papayahook/papayahook.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace papayahook::support {
+
+// One choice of a generated sequence.
+struct choice
+{
+    int what = 0;
+    int which = 0; // taken modulo what there is to choose from
+};
+
+// An effect that has not been carried out yet.
+template <class T>
+struct pending
+{
+    std::size_t node = 0;
+    std::uint64_t incarnation = 0; // of the node that asked for it
+    T what;
+};
+
+struct ended
+{
+    std::string key;    // of the order
+    bool whole = false; // else refused or broken
+    core::outcome outcome = core::outcome::not_run;
+    std::string body;
+};
+
+struct world
+{
+    std::vector<core::node_state> nodes;
+    core::time_point now{std::chrono::hours(1)};
+    std::map<std::string, std::vector<core::log_entry>> log; // by stream
+    std::map<std::string, core::offset> log_start;
+    std::vector<pending<core::append>> appends;
+    std::vector<pending<core::append>> late_appends; // answered "in doubt"
+    std::vector<pending<core::dispatch>> dispatches;
+    std::vector<pending<core::event>> late_events;
+    std::vector<pending<core::send_peer>> messages;
+
+    // What was seen outside.
+    std::map<core::request_id, std::string> keys; // of orders asked
+    std::map<std::string, int> runs_by_key;       // at the order desk
+    std::map<core::request_id, int> runs_by_request;
+    std::map<core::request_id, ended> ends;
+    std::map<core::request_id, int> end_count;
+    std::map<core::request_id, std::string> bodies; // sent to callers
+    std::vector<std::pair<std::size_t, core::dispatch>> all_dispatches;
+};
+
+world make_world(std::size_t nodes);
+
+// Gives an event to a node and files its effects.
+void give(world& w, std::size_t node, decltype(core::event::what) what);
+void pass_time(world& w, std::chrono::milliseconds by);
+void restart(world& w, std::size_t node);
+
+// Puts records on a stream, as an operator or a node would.
+core::offset put(world& w, std::string const& stream,
+                 std::variant<core::config_record, core::claim_record> record);
+core::offset publish(world& w, core::config_body body);
+core::log_read read_of(world const& w, std::string const& stream,
+                       core::offset after);
+void read_log(world& w, std::size_t node);
+
+// Organisation "acme" (key digest "key"), routes "chat" on runners r1, r2
+// and "orders" on desks d1, d2, versions "v1"; all nodes have read it.
+void configure(world& w);
+
+core::request_id ask_order(world& w, std::size_t node, std::string const& key,
+                           std::string const& body_digest = "b");
+core::request_id ask_chat(world& w, std::size_t node,
+                          std::string const& schema = "");
+
+// Carries out a pending effect; does nothing where there is none.
+void take_append(world& w, std::size_t i, bool answered);
+void fail_append(world& w, std::size_t i);
+void take_late_append(world& w, std::size_t i);
+void run_dispatch(world& w, std::size_t i, bool answered, bool later);
+void refuse_connection(world& w, std::size_t i);
+void deliver_late_event(world& w, std::size_t i);
+void deliver_message(world& w, std::size_t i);
+
+// Carries out all that is pending until nothing is, without faults.
+void settle(world& w);
+
+} // namespace papayahook::support
