--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -149,7 +149,11 @@
     if (auto why = check_record(rec->body); !why.empty())
         return why;
     auto const current = revision_in_force(c, rec->body);
+#if PAPAYAHOOK_MUTATION_NO_CAS
+    if (false)
+#else
     if (rec->replaces != current)
+#endif
         return "follows revision " + std::to_string(rec->replaces) +
                ", in force is " + std::to_string(current);
     return std::visit(
@@ -386,10 +390,12 @@
 {
     bool changed = false;
     for (auto const& entry : entries) {
+#if !PAPAYAHOOK_MUTATION_STEP_BACK
         if (entry.at <= s.config.applied)
             continue; // never steps back
         if (entry.at != s.config.applied + 1)
             break; // a gap: nothing behind it can be judged
+#endif
         if (std::holds_alternative<config_record>(entry.record))
             refresh_endpoint(s, std::get<config_record>(entry.record));
         auto const verdict = apply_config(s.config, entry);
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -65,6 +65,9 @@
 
 bool is_late(node_state const& s, move_state const& m)
 {
+#if PAPAYAHOOK_MUTATION_NO_DEADLINE
+    return false;
+#endif
     return s.now + s.settings.move_margin >= m.spec.deadline;
 }
 
@@ -114,7 +117,11 @@
     move_step step;
     step.stage = m.stage;
     auto const found = judge(m);
+#if PAPAYAHOOK_MUTATION_NO_VETO
+    if (false)
+#else
     if (found == verdict::bad && !m.vetoed)
+#endif
         learn_veto(s, {m.spec.name, m.started, evidence(m)}, out);
     auto const veto = s.vetoes.find({m.spec.name, m.started});
     m.vetoed = veto != s.vetoes.end();
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -71,6 +71,9 @@
 
 bool is_leaving(node_state const& s, endpoint const& e)
 {
+#if PAPAYAHOOK_MUTATION_KEEP_LEAVING
+    return false;
+#endif
     return s.known_leaving.contains({e.name, e.incarnation});
 }
 
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -215,8 +215,10 @@
         return;
     r->progress_at = s.now;
     auto const next = r->chunks.size();
+#if !PAPAYAHOOK_MUTATION_ACCEPT_ANY_ORDER
     if (e.index < next)
         return; // late or doubled
+#endif
     if (e.index > next) {
         if (r->early.size() < max_early_chunks)
             r->early.emplace(e.index, e.data);
--- a/test/once_test.cpp
+++ b/test/once_test.cpp
@@ -16,8 +16,7 @@
 {
     auto const which = static_cast<std::size_t>(c.which);
     auto const node = which % w.nodes.size();
-    switch (c.what % 16)
-    {
+    switch (c.what % 16) {
     case 0:
     case 1:
     case 2:
@@ -76,8 +75,7 @@
 {
     for (auto const& [key, n] : w.runs_by_key)
         RC_ASSERT(n <= 1);
-    for (auto const& [id, end] : w.ends)
-    {
+    for (auto const& [id, end] : w.ends) {
         bool const said_not_run =
             !end.whole && end.outcome == core::outcome::not_run;
         if (said_not_run)
@@ -145,7 +143,7 @@
     auto w = make_world(2);
     auto const a = ask_order(w, 0, "k");
     take_late_append(w, 1); // in doubt, not on the log yet
-    pass_time(w, 6s);         // past the order's deadline
+    pass_time(w, 6s);       // past the order's deadline
     CHECK(w.ends[a].outcome == core::outcome::not_run);
     settle(w); // the old append takes effect now
     CHECK(w.runs_by_key.count("k") == 0);
@@ -175,8 +173,7 @@
     w.now = core::time_point(std::chrono::hours(24 * 365 * 55));
     pass_time(w, 1ms);
     // UUID of version 7 whose time is 1 s after the epoch.
-    auto const a =
-        ask_order(w, 0, "00000000-03e8-7000-8000-000000000000");
+    auto const a = ask_order(w, 0, "00000000-03e8-7000-8000-000000000000");
     CHECK_FALSE(w.ends[a].whole);
     CHECK(w.ends[a].outcome == core::outcome::outcome_unknown);
 }
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -1,1 +1,235 @@
+// Whole answers to their own requests, whatever the order of tokens.
+#include "support/choices.hpp"
+
+#include <algorithm>
 #include <catch2/catch.hpp>
+
+using namespace papayahook;
+using namespace papayahook::support;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t tokens = 8;
+
+// What a runner still has to say about one call.
+struct generation
+{
+    core::request_id id;
+    core::call_id call = 0;
+    std::string version;
+    std::vector<std::uint64_t> unsent; // indices
+    bool end_sent = false;
+};
+
+struct session
+{
+    world w = make_world(1);
+    std::vector<generation> running;
+    std::map<core::request_id, std::string> version_of;
+};
+
+std::string token(core::request_id const& id, std::uint64_t index)
+{
+    return id + "#" + std::to_string(index) + " ";
+}
+
+std::string whole_text(core::request_id const& id)
+{
+    std::string out;
+    for (std::uint64_t i = 0; i < tokens; ++i)
+        out += token(id, i);
+    return out;
+}
+
+void start_generations(session& s)
+{
+    for (auto const& it : s.w.dispatches) {
+        generation g{it.what.id, it.what.call, it.what.version, {}, false};
+        for (auto i = it.what.resume_chunks.size(); i < tokens; ++i)
+            g.unsent.push_back(i);
+        if (!it.what.resume_chunks.empty())
+            RC_ASSERT(s.version_of[g.id] == g.version);
+        s.version_of[g.id] = g.version;
+        give(s.w, 0,
+             core::answer_head{g.call, 200, "text/event-stream", false, false});
+        s.running.push_back(std::move(g));
+    }
+    s.w.dispatches.clear();
+}
+
+void send_token(session& s, generation& g, std::size_t ahead)
+{
+    if (g.unsent.empty())
+        return;
+    auto const at = std::min(ahead, g.unsent.size() - 1);
+    auto const index = g.unsent[at];
+    g.unsent.erase(g.unsent.begin() + static_cast<std::ptrdiff_t>(at));
+    give(s.w, 0, core::answer_chunk{g.call, index, token(g.id, index)});
+}
+
+void send_end(session& s, generation& g)
+{
+    g.end_sent = true;
+    give(s.w, 0, core::answer_end{g.call, tokens});
+}
+
+void step(session& s, choice const& c)
+{
+    start_generations(s);
+    auto const which = static_cast<std::size_t>(c.which);
+    if (c.what % 12 == 0 || s.running.empty()) {
+        ask_chat(s.w, 0);
+        return;
+    }
+    auto& g = s.running[which % s.running.size()];
+    switch (c.what % 12) {
+    case 1:
+    case 2:
+    case 3:
+        send_token(s, g, 0);
+        break;
+    case 4:
+        send_token(s, g, which / 8 % 4); // out of order
+        break;
+    case 5: // doubled
+        give(s.w, 0,
+             core::answer_chunk{g.call, which % tokens,
+                                token(g.id, which % tokens)});
+        break;
+    case 6:
+        send_end(s, g); // may overtake tokens
+        break;
+    case 7:
+        give(s.w, 0,
+             core::call_failed{g.call, core::step::receive, true, "cut off"});
+        break;
+    case 8:
+        pass_time(s.w, std::chrono::milliseconds(which * 3));
+        break;
+    case 9:
+        give(s.w, 0, core::caller_drained{g.id, which % (tokens + 1)});
+        break;
+    case 10:
+        give(s.w, 0, core::answer_head{g.call, 500, "", false, false});
+        break;
+    default:
+        pass_time(s.w, 50ms);
+    }
+}
+
+void finish(session& s)
+{
+    for (int round = 0; round < 200; ++round) {
+        start_generations(s);
+        for (auto& g : s.running) {
+            while (!g.unsent.empty())
+                send_token(s, g, 0);
+            if (!g.end_sent)
+                send_end(s, g);
+        }
+        s.running.clear();
+        pass_time(s.w, 500ms);
+    }
+}
+
+} // namespace
+
+TEST_CASE("an answer is whole, in order and its own, or ends in an error")
+{
+    REQUIRE(rc::check("streams", [](std::vector<choice> const& choices) {
+        session s;
+        for (auto const& it : choices)
+            step(s, it);
+        finish(s);
+        for (auto const& [id, key] : s.w.keys) {
+            RC_ASSERT(s.w.end_count[id] == 1);
+            auto const whole = whole_text(id);
+            auto const& body = s.w.bodies[id];
+            RC_ASSERT(whole.starts_with(body));
+            if (s.w.ends[id].whole)
+                RC_ASSERT(body == whole);
+        }
+        RC_ASSERT(s.w.nodes[0].calls.empty());
+    }));
+}
+
+TEST_CASE("a stream goes on at another runner of the same version")
+{
+    session s;
+    auto const id = ask_chat(s.w, 0);
+    start_generations(s);
+    auto const first = s.w.all_dispatches.back().second.endpoint;
+    for (int i = 0; i < 3; ++i)
+        send_token(s, s.running[0], 0);
+    give(
+        s.w, 0,
+        core::call_failed{s.running[0].call, core::step::receive, true, "cut"});
+    REQUIRE(s.w.dispatches.size() == 1);
+    auto const& again = s.w.dispatches[0].what;
+    CHECK(again.endpoint != first);
+    CHECK(again.resume_chunks.size() == 3);
+    CHECK(again.version == "v1");
+    CHECK(s.w.nodes[0].counts.tokens_recomputed == 13);
+    finish(s);
+    CHECK(s.w.bodies[id] == whole_text(id));
+}
+
+TEST_CASE("a quiet call is given up and tried on a new connection")
+{
+    session s;
+    ask_chat(s.w, 0);
+    s.w.dispatches.clear(); // nothing is ever heard of it
+    pass_time(s.w, 2'100ms);
+    REQUIRE(s.w.dispatches.size() == 1);
+    CHECK(s.w.dispatches[0].what.fresh_connection);
+}
+
+TEST_CASE("a slow caller pauses the endpoint; nothing grows without bound")
+{
+    session s;
+    auto const id = ask_chat(s.w, 0);
+    auto const call = s.w.dispatches[0].what.call;
+    give(s.w, 0, core::answer_head{call, 200, "text/event-stream"});
+    core::effects out;
+    auto& node = s.w.nodes[0];
+    bool paused = false;
+    for (std::uint64_t i = 0; i < 2 * node.settings.max_backlog; ++i) {
+        out.clear();
+        core::reduce(node, {s.w.now, core::answer_chunk{call, i, "x"}}, out);
+        paused = paused || std::ranges::any_of(out, [](auto const& it) {
+                     return std::holds_alternative<core::pause_call>(it);
+                 });
+    }
+    CHECK(paused);
+    out.clear();
+    core::reduce(
+        node,
+        {s.w.now, core::caller_drained{id, 2 * node.settings.max_backlog}},
+        out);
+    REQUIRE(out.size() == 1);
+    CHECK(std::holds_alternative<core::resume_call>(out[0]));
+}
+
+TEST_CASE("an answer is sent again from the index the caller asks for")
+{
+    session s;
+    s.w.nodes[0].settings.answer_linger = 1h;
+    auto const id = ask_chat(s.w, 0);
+    finish(s);
+    s.w.bodies[id].clear();
+    give(s.w, 0, core::reattach{id, 5});
+    CHECK(s.w.bodies[id] == token(id, 5) + token(id, 6) + token(id, 7));
+    CHECK(s.w.end_count[id] == 2);
+}
+
+TEST_CASE("the caller's going cancels its work, unless it asked to keep it")
+{
+    auto w = make_world(1);
+    auto const id = ask_chat(w, 0);
+    give(w, 0, core::caller_gone{id});
+    CHECK(w.nodes[0].calls.empty());
+    auto const kept = ask_order(w, 0, "");
+    give(w, 0, core::caller_gone{kept});
+    CHECK(w.nodes[0].calls.size() == 1);
+}
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -119,11 +119,11 @@
     return *it;
 }
 
-bool wait_until(std::chrono::milliseconds limit, bool (*holds)(void*),
-                void* user)
+bool eventually(std::chrono::milliseconds limit,
+                std::function<bool()> const& holds)
 {
     auto const until = std::chrono::steady_clock::now() + limit;
-    while (!holds(user)) {
+    while (!holds()) {
         if (std::chrono::steady_clock::now() >= until)
             return false;
         std::this_thread::sleep_for(poll_step);
--- a/test/support/fleet.hpp
+++ b/test/support/fleet.hpp
@@ -4,6 +4,7 @@
 #include "papayahook/papayahook.hpp"
 #include "support/processes.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -68,20 +69,10 @@
 void publish_text(fleet const& f, std::string const& toml);
 
 // Calls `holds` until it is true or the limit has passed.
-template <class F>
-bool eventually(std::chrono::milliseconds limit, F&& holds);
+bool eventually(std::chrono::milliseconds limit,
+                std::function<bool()> const& holds);
 
 // Times that order desks ran an order, over all desks.
 int times_run(fleet const& f, std::string const& order);
 
-bool wait_until(std::chrono::milliseconds limit, bool (*holds)(void*),
-                void* user);
-
-template <class F>
-bool eventually(std::chrono::milliseconds limit, F&& holds)
-{
-    return wait_until(
-        limit, [](void* user) { return (*static_cast<F*>(user))(); }, &holds);
-}
-
 } // namespace papayahook::support
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -94,8 +94,7 @@
 {
     world w;
     w.nodes.resize(nodes);
-    for (std::size_t i = 0; i < nodes; ++i)
-    {
+    for (std::size_t i = 0; i < nodes; ++i) {
         auto& s = w.nodes[i].settings;
         s.name = "n" + std::to_string(i + 1);
         s.zone = "zone-a";
@@ -172,10 +171,9 @@
     if (all == w.log.end())
         return out;
     out.end = all->second.size();
-    std::ranges::copy_if(all->second, std::back_inserter(out.entries),
-                         [&](auto const& it) {
-                             return it.at > after && it.at >= out.start;
-                         });
+    std::ranges::copy_if(
+        all->second, std::back_inserter(out.entries),
+        [&](auto const& it) { return it.at > after && it.at >= out.start; });
     return out;
 }
 
@@ -211,8 +209,7 @@
     orders.repeatable = false;
     orders.deadline = 5s;
     publish(w, orders);
-    for (std::size_t i = 0; i < w.nodes.size(); ++i)
-    {
+    for (std::size_t i = 0; i < w.nodes.size(); ++i) {
         give(w, i, core::log_reachable{true});
         read_log(w, i);
     }
@@ -271,8 +268,7 @@
 // The answer says "in doubt"; the append itself may stand much later.
 void take_late_append(world& w, std::size_t i)
 {
-    if (!w.late_appends.empty() && i % 2 == 0)
-    {
+    if (!w.late_appends.empty() && i % 2 == 0) {
         auto const it = take(w.late_appends, i / 2);
         for (auto const& rec : it.what.records)
             put(w, it.what.stream, rec);
@@ -295,21 +291,18 @@
     auto const times = ++w.runs_by_key[w.keys[id]];
     w.runs_by_request[id]++;
     std::vector<decltype(core::event::what)> events;
-    if (answered)
-    {
+    if (answered) {
         events.emplace_back(
             core::answer_head{it.what.call, 200, "text/plain", false, false});
         events.emplace_back(core::answer_chunk{
             it.what.call, 0, w.keys[id] + " run " + std::to_string(times)});
         events.emplace_back(core::answer_end{it.what.call, 1});
     }
-    else
-    {
-        events.emplace_back(core::call_failed{
-            it.what.call, core::step::receive, true, "answer lost"});
+    else {
+        events.emplace_back(core::call_failed{it.what.call, core::step::receive,
+                                              true, "answer lost"});
     }
-    for (auto& e : events)
-    {
+    for (auto& e : events) {
         if (later)
             w.late_events.push_back(
                 {it.node, it.incarnation, core::event{w.now, std::move(e)}});
@@ -323,8 +316,9 @@
     if (w.dispatches.empty())
         return;
     auto const it = take(w.dispatches, i);
-    answer(w, it, core::call_failed{it.what.call, core::step::connect, false,
-                                    "connection refused"});
+    answer(w, it,
+           core::call_failed{it.what.call, core::step::connect, false,
+                             "connection refused"});
 }
 
 void deliver_late_event(world& w, std::size_t i)
@@ -349,8 +343,7 @@
 void settle(world& w)
 {
     constexpr int rounds = 400;
-    for (int i = 0; i < rounds; ++i)
-    {
+    for (int i = 0; i < rounds; ++i) {
         while (!w.late_appends.empty())
             take_late_append(w, 0);
         while (!w.appends.empty())
