Keep claims within the log's appends a second; golden sessions; readiness

Cause: each order cost two appends: 789 a second at 400 orders a second, more than the log takes. Outcomes went out at once though nobody waits for them. Ruled out: a larger batch alone (the batch was never full). Change: appends are paced by append_budget over live nodes, outcomes ride with the next claims; ready waits for a link, at most 3 s; the list of instances is read less often by each node the more nodes there are.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -561,6 +561,12 @@
     std::string detail;
 };
 
+// A tick is due at this time, between the regular ones.
+struct wake
+{
+    time_point at{};
+};
+
 struct exit_process
 {
 };
@@ -568,7 +574,7 @@
 using effect =
     std::variant<refuse, dispatch, cancel_call, pause_call, resume_call,
                  send_head, send_chunk, finish_answer, fail_answer, append,
-                 send_peer, close_peer, log_event, exit_process>;
+                 send_peer, close_peer, log_event, wake, exit_process>;
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
@@ -588,6 +594,8 @@
     int max_attempts = 4;          // dispatches of one request
     double retry_budget = 0.2;     // retries per first dispatch, per route
     int claim_batch = 256;         // claim records per append
+    int append_budget = 300; // appends of claims a second, all nodes together
+    std::chrono::milliseconds outcome_linger{100}; // outcomes wait for claims
     std::size_t max_shared_body = 16 * 1024;         // answer kept on the log
     std::size_t max_shared_bytes = 16 * 1024 * 1024; // of all such answers
     std::chrono::milliseconds hop_cost{2};           // endpoint in another zone
@@ -746,6 +754,8 @@
     std::deque<std::pair<time_point, std::string>> by_age;
     std::vector<claim_record> batch; // waits for the append in flight
     std::uint64_t append_open = 0;   // 0: none in flight
+    time_point flushed_at{};   // last append of this node
+    time_point outcomes_since{}; // oldest outcome in the batch
 };
 
 struct peer_state
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -213,6 +213,7 @@
 PAPAYAHOOK_NAME(send_peer)
 PAPAYAHOOK_NAME(close_peer)
 PAPAYAHOOK_NAME(log_event)
+PAPAYAHOOK_NAME(wake)
 PAPAYAHOOK_NAME(exit_process)
 
 } // namespace papayahook::core
@@ -305,9 +306,10 @@
 PAPAYAHOOK_JSON(append, append, stream, id, records)
 PAPAYAHOOK_JSON(send_peer, link, message)
 PAPAYAHOOK_JSON(close_peer, link)
+PAPAYAHOOK_JSON(wake, at)
 PAPAYAHOOK_JSON(log_event, number, subject, peer, detail)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
-                max_queue, max_backlog, max_attempts, retry_budget, claim_batch,
+                max_queue, max_backlog, max_attempts, retry_budget, claim_batch, append_budget, outcome_linger,
                 max_shared_body, max_shared_bytes, hop_cost, prefill_per_token,
                 endpoint_pause, report_horizon, heartbeat_period, peer_timeout,
                 stage_time, move_margin, answer_linger, claim_horizon,
--- a/src/core/once.cpp
+++ b/src/core/once.cpp
@@ -84,6 +84,37 @@
     }
 }
 
+bool holds_outcome(once_state const& once)
+{
+    return std::ranges::any_of(once.batch, [](auto const& it) {
+        return it.kind != claim_kind::claim;
+    });
+}
+
+bool holds_claim(once_state const& once)
+{
+    return std::ranges::any_of(once.batch, [](auto const& it) {
+        return it.kind == claim_kind::claim;
+    });
+}
+
+// The log's appends are shared out evenly among the live nodes. Outcomes are
+// in no hurry: nobody waits for them but a second caller of the key, so they
+// ride with the next claims, or go alone after a while.
+time_point next_flush(node_state const& s)
+{
+    auto const live = std::ranges::count_if(
+        s.members, [](auto const& it) { return it.second.up; });
+    auto const spacing = duration(std::chrono::seconds(1)) *
+                         std::max<std::ptrdiff_t>(1, live) /
+                         s.settings.append_budget;
+    auto const paced = s.once.flushed_at + spacing;
+    if (holds_claim(s.once))
+        return paced;
+    return std::max(paced, s.once.outcomes_since +
+                               duration(s.settings.outcome_linger));
+}
+
 // A body that is not held any more makes the answer unknown to later callers
 // of the key; status 0 marks that.
 void drop_body(once_state& once, claim_state& claim)
@@ -108,12 +139,21 @@
     wake_followers(s, rec.key, out);
 }
 
+void add_to_batch(node_state& s, claim_record rec, effects& out)
+{
+    bool const first_outcome =
+        rec.kind != claim_kind::claim && !holds_outcome(s.once);
+    if (first_outcome)
+        s.once.outcomes_since = s.now;
+    s.once.batch.push_back(std::move(rec));
+    flush_claims(s, out);
+}
+
 void release(node_state& s, claim_record const& rec, effects& out)
 {
     auto it = rec;
     it.kind = claim_kind::released;
-    s.once.batch.push_back(std::move(it));
-    flush_claims(s, out);
+    add_to_batch(s, std::move(it), out);
 }
 
 // The claim of `rec` holds from now on: its writer may dispatch.
@@ -195,9 +235,9 @@
     enqueue(s, r, out);
     return;
 #endif
-    s.once.batch.push_back(
-        {claim_kind::claim, key, r.asked.id, r.asked.body_digest, 0, "", ""});
-    flush_claims(s, out);
+    add_to_batch(
+        s, {claim_kind::claim, key, r.asked.id, r.asked.body_digest, 0, "", ""},
+        out);
 }
 
 void record_outcome(node_state& s, request_state& r, claim_kind kind,
@@ -220,8 +260,7 @@
             rec.status = 0;
         }
     }
-    s.once.batch.push_back(std::move(rec));
-    flush_claims(s, out);
+    add_to_batch(s, std::move(rec), out);
 }
 
 void drop_unsent_claim(node_state& s, request_state const& r)
@@ -237,6 +276,13 @@
     auto& once = s.once;
     if (once.append_open != 0 || once.batch.empty())
         return;
+    auto const due = next_flush(s);
+    if (due > s.now)
+    {
+        out.push_back(wake{due});
+        return;
+    }
+    once.flushed_at = s.now;
     auto const n = std::min(once.batch.size(),
                             static_cast<std::size_t>(s.settings.claim_batch));
     auto const last = once.batch.begin() + static_cast<std::ptrdiff_t>(n);
--- a/src/runtime/admin.cpp
+++ b/src/runtime/admin.cpp
@@ -3,6 +3,7 @@
 #include "runtime/metrics.hpp"
 #include "runtime/node.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace papayahook::runtime {
@@ -17,9 +18,22 @@
     out->send(status, {{"Content-Type", type}}, std::move(body));
 }
 
-bool is_ready(core::node_state const& s)
+// A node that has no link yet does not know where other nodes' answers are
+// held; one whose peers are all down must serve all the same.
+constexpr std::chrono::seconds longest_wait_for_peers{3};
+
+bool knows_members(node const& n)
+{
+    auto const& peers = n.state.peers;
+    bool const linked = std::ranges::any_of(
+        peers, [](auto const& it) { return !it.second.node.empty(); });
+    auto const age = std::chrono::steady_clock::now() - n.steady_at_start;
+    return linked || n.set.peers.empty() || age >= longest_wait_for_peers;
+}
+
+bool is_ready(node const& n)
 {
-    return !s.leaving && s.config.applied != 0;
+    return !n.state.leaving && n.state.config.applied != 0 && knows_members(n);
 }
 
 std::string explain(core::node_state const& s, std::string const& subject)
@@ -49,8 +63,8 @@
     else if (in.path == "/healthz")
         send_text(out, 200, "text/plain", "ok\n");
     else if (in.path == "/readyz")
-        send_text(out, is_ready(s) ? 200 : 503, "text/plain",
-                  is_ready(s) ? "ready\n" : "not ready\n");
+        send_text(out, is_ready(n) ? 200 : 503, "text/plain",
+                  is_ready(n) ? "ready\n" : "not ready\n");
     else if (in.path == "/explain")
         send_text(out, 200, json_type,
                   explain(s, query_value(in.query, "subject")));
--- a/src/runtime/callers.cpp
+++ b/src/runtime/callers.cpp
@@ -192,7 +192,14 @@
         auto const target = holder_address(n, id);
         bool const forwarded =
             !header_value(in.headers, forwarded_header).empty();
-        if (target.empty() || forwarded)
+        bool const other_node = !id.starts_with(n.set.core.name + ".");
+        if (target.empty() && other_node && !forwarded)
+            send_problem(out, id,
+                         {503, core::outcome::outcome_unknown,
+                          core::step::answer, "",
+                          "the node that holds the answer is not known here",
+                          std::chrono::seconds(1)});
+        else if (target.empty() || forwarded)
             send_problem(out, id, unknown_answer("no such request here"));
         else
             forward_reattach(n, target, id, in, out);
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -17,7 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_period = 50ms;
-constexpr auto redial_period = 1s;
+constexpr auto redial_period = 500ms;
 
 std::string proof_of(node const& n, core::hello const& it)
 {
@@ -52,6 +52,22 @@
     write_log(it);
 }
 
+void perform(node& n, core::wake const& it)
+{
+    if (n.wake_at && *n.wake_at <= it.at)
+        return;
+    n.wake_at = it.at;
+    auto const delay =
+        std::chrono::ceil<std::chrono::milliseconds>(it.at - now(n));
+    after(n, std::max(delay, std::chrono::milliseconds(0)),
+          [&n, at = it.at] {
+              if (n.wake_at != at)
+                  return; // an earlier one took its place
+              n.wake_at.reset();
+              handle(n, core::tick{});
+          });
+}
+
 void perform(node& n, core::exit_process const&)
 {
     n.io.stop();
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -60,6 +60,7 @@
     asio::steady_timer ticker;
     std::deque<core::event> events; // waiting while one is being handled
     bool handling = false;
+    std::optional<core::time_point> wake_at; // of the extra tick that waits
     int signals_seen = 0;
     std::uint64_t next_request = 1;
     std::map<core::request_id, open_request> requests;
--- a/src/runtime/platform.cpp
+++ b/src/runtime/platform.cpp
@@ -3,6 +3,7 @@
 #include "runtime/logging.hpp"
 #include "runtime/node.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace papayahook::runtime {
@@ -62,6 +63,16 @@
     handle(n, std::move(list));
 }
 
+// The list is long where the fleet is: all nodes together read it as often as
+// a few would alone, and tell each other what they find.
+std::chrono::milliseconds list_period(node const& n)
+{
+    constexpr std::ptrdiff_t readers = 6;
+    auto const live = std::ranges::count_if(
+        n.state.members, [](auto const& it) { return it.second.up; });
+    return n.set.list_period * std::max(readers, live) / readers;
+}
+
 std::shared_ptr<std::string> collect_body(http_call& call)
 {
     auto body = std::make_shared<std::string>();
@@ -126,7 +137,7 @@
     auto const body = collect_body(call);
     call.on_done = [&n, body](http_result const& result) {
         on_list(n, result, *body);
-        after(n, n.set.list_period, [&n] { read_instances(n); });
+        after(n, list_period(n), [&n] { read_instances(n); });
     };
     n.client.start(std::move(call));
 }
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -100,6 +100,7 @@
     out.core.retry_budget =
         it.number("retry_budget", out.core.retry_budget, 0, 1);
     read_count(it, "claim_batch", out.core.claim_batch, 10'000);
+    read_count(it, "append_budget", out.core.append_budget, 100'000);
     read_count(it, "max_shared_body", out.core.max_shared_body, gigabyte);
     read_count(it, "max_shared_bytes", out.core.max_shared_bytes, gigabyte);
     read_count(it, "max_body_bytes", out.max_body_bytes, gigabyte);
@@ -125,6 +126,7 @@
     read_time(it, "stage_time_ms", out.core.stage_time, 24h);
     read_time(it, "move_margin_ms", out.core.move_margin, 24h);
     read_time(it, "answer_linger_ms", out.core.answer_linger, 24h);
+    read_time(it, "outcome_linger_ms", out.core.outcome_linger, 1h);
     read_time(it, "append_retry_ms", out.core.append_retry, 1h);
     read_time(it, "claim_horizon_s", out.core.claim_horizon, 24h * 30);
     read_time(it, "checkpoint_period_s", out.core.checkpoint_period, 24h);
@@ -213,6 +215,7 @@
         << "\nmax_attempts = " << it.core.max_attempts
         << "\nretry_budget = " << it.core.retry_budget
         << "\nclaim_batch = " << it.core.claim_batch
+        << "\nappend_budget = " << it.core.append_budget
         << "\nmax_shared_body = " << it.core.max_shared_body
         << "\nmax_shared_bytes = " << it.core.max_shared_bytes
         << "\nmax_body_bytes = " << it.max_body_bytes
@@ -231,6 +234,7 @@
         << "\nstage_time_ms = " << ms(it.core.stage_time)
         << "\nmove_margin_ms = " << ms(it.core.move_margin)
         << "\nanswer_linger_ms = " << ms(it.core.answer_linger)
+        << "\noutcome_linger_ms = " << ms(it.core.outcome_linger)
         << "\nappend_retry_ms = " << ms(it.core.append_retry)
         << "\nclaim_horizon_s = " << ms(it.core.claim_horizon) / 1000
         << "\ncheckpoint_period_s = " << ms(it.core.checkpoint_period) / 1000
--- /dev/null
+++ b/test/codec_test.cpp
@@ -0,0 +1,184 @@
+// Golden sessions, decoders under random bytes, settings and record files.
+#include "codec/config_file.hpp"
+#include "codec/json.hpp"
+#include "runtime/caller_api.hpp"
+#include "runtime/settings.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <rapidcheck.h>
+
+using namespace papayahook;
+
+namespace {
+
+std::vector<std::string> lines_of(std::filesystem::path const& file)
+{
+    std::ifstream in(file);
+    std::vector<std::string> out;
+    for (std::string line; std::getline(in, line);)
+        out.push_back(line);
+    return out;
+}
+
+std::vector<std::string> replay(std::vector<std::string> const& session)
+{
+    core::node_state state;
+    state.settings = codec::settings_from_line(session.at(0));
+    std::vector<std::string> out;
+    for (std::size_t i = 1; i < session.size(); ++i)
+    {
+        core::effects effects;
+        core::reduce(state, codec::event_from_line(session[i]), effects);
+        std::ranges::transform(effects, std::back_inserter(out),
+                               codec::effect_to_line);
+    }
+    return out;
+}
+
+std::string complaint(std::string const& text)
+{
+    auto const file =
+        std::filesystem::temp_directory_path() / "papayahook-codec-test.toml";
+    std::ofstream(file) << text;
+    try
+    {
+        codec::read_config_file(file.string(), {});
+    }
+    catch (codec::config_error const& e)
+    {
+        return std::string(e.what()).substr(file.string().size());
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("golden sessions give the same effects, byte for byte")
+{
+    int sessions = 0;
+    for (auto const& it :
+         std::filesystem::directory_iterator(PAPAYAHOOK_GOLDEN_DIR))
+    {
+        if (it.path().extension() != ".events")
+            continue;
+        auto effects = it.path();
+        effects.replace_extension(".effects");
+        INFO(it.path().filename().string());
+        auto const got = replay(lines_of(it.path()));
+        auto const wanted = lines_of(effects);
+        REQUIRE(got.size() == wanted.size());
+        for (std::size_t i = 0; i < got.size(); ++i)
+            REQUIRE(got[i] == wanted[i]);
+        sessions++;
+    }
+    CHECK(sessions >= 5);
+}
+
+TEST_CASE("no bytes from a peer do more than raise the typed error")
+{
+    REQUIRE(rc::check("cbor", [](std::string const& bytes) {
+        try
+        {
+            codec::message_from_cbor(bytes);
+        }
+        catch (std::invalid_argument const&)
+        {
+        }
+    }));
+    REQUIRE(rc::check("cut off", [](std::uint8_t at, std::uint8_t value) {
+        core::news item;
+        item.members.push_back({"n1", 1, 2, true, "zone-a", "127.0.0.1:1"});
+        auto bytes = codec::message_to_cbor(item);
+        bytes[at % bytes.size()] = static_cast<char>(value);
+        bytes.resize(bytes.size() - value % 3);
+        try
+        {
+            codec::message_from_cbor(bytes);
+        }
+        catch (std::invalid_argument const&)
+        {
+        }
+    }));
+}
+
+TEST_CASE("no body of a caller or of the log does more than be refused")
+{
+    REQUIRE(rc::check("caller", [](std::string const& body) {
+        runtime::http_request in;
+        in.method = "POST";
+        in.path = "/v1/chat/completions";
+        in.body = body;
+        auto const got = runtime::parse_request(in, "n1.1.1");
+        RC_ASSERT(std::holds_alternative<runtime::bad_request>(got));
+        runtime::parse_runner_line("data: " + body);
+    }));
+    REQUIRE(rc::check("log", [](std::string const& body) {
+        try
+        {
+            codec::read_from_json("config", body);
+            RC_FAIL("accepted");
+        }
+        catch (std::invalid_argument const&)
+        {
+        }
+    }));
+}
+
+TEST_CASE("a message comes back from CBOR as it was")
+{
+    core::news item;
+    item.leaving.push_back({"r1", "7"});
+    item.vetoes.push_back({"m", 12, "bad"});
+    item.counts.push_back({"m", "n1", 3, 12, 1, {4, 1}, {2, 2}});
+    auto const back = codec::message_from_cbor(codec::message_to_cbor(item));
+    auto const& it = std::get<core::news>(back);
+    CHECK(it.leaving == item.leaving);
+    CHECK(it.vetoes.at(0).started == 12);
+    CHECK(it.counts.at(0).to.bad == 2);
+}
+
+TEST_CASE("a shared answer keeps bytes that are not text")
+{
+    core::append it;
+    core::claim_record rec;
+    rec.kind = core::claim_kind::answered;
+    rec.key = "k";
+    rec.body = std::string("\xff\x00\x80", 3);
+    it.records.emplace_back(rec);
+    auto const text = codec::append_to_json(it);
+    auto const at = text.find("[{") + 1;
+    auto const data = text.substr(at, text.rfind("]") - at);
+    auto const read = codec::read_from_json(
+        "claims", R"({"start":1,"end":1,"records":[{"offset":1,"time_ms":5,)"
+                  R"("id":"a","data":)" + data + "}]}");
+    auto const& back = std::get<core::claim_record>(read.entries.at(0).record);
+    CHECK(back.body == rec.body);
+}
+
+TEST_CASE("a file of records is checked before it is sent")
+{
+    CHECK(complaint("[[route]]\nname = \"a\"\n") ==
+          ":1: route.pool: a string that is not empty is required");
+    CHECK(complaint("[[route]]\nname = \"a\"\npool = \"p\"\nversion = \"v\"\n"
+                    "deadline_ms = \"soon\"\n")
+              .starts_with(":5: route.deadline_ms: an integer"));
+    CHECK(complaint("[[colour]]\nname = \"a\"\n") == ":1: colour: unknown key");
+    CHECK(complaint("[[move]]\nname = \"m\"\nroute = \"r\"\nto = \"v\"\n"
+                    "deadline_in_s = 5\ncanary_share = 0.5\n")
+              .starts_with(":6: move.canary_share: a number"));
+    CHECK(complaint("name = ").starts_with(":1: "));
+}
+
+TEST_CASE("the keys of callers never stand in a dump")
+{
+    core::node_state s;
+    core::organisation org;
+    org.name = "acme";
+    org.key_digests = {"0123456789abcdef"};
+    s.config.organisations["acme"] = {org, 1};
+    CHECK(codec::state_to_json(s).find("0123456789abcdef") ==
+          std::string::npos);
+}
--- a/test/once_test.cpp
+++ b/test/once_test.cpp
@@ -201,6 +201,36 @@
         ask_order(w, 0, "k" + std::to_string(i));
     REQUIRE(w.appends.size() == 1);
     take_append(w, 0, true);
+    pass_time(w, 10ms);
     REQUIRE(w.appends.size() == 1);
     CHECK(w.appends[0].what.records.size() == 99);
 }
+
+TEST_CASE("all nodes together keep within the log's appends a second")
+{
+    constexpr std::size_t nodes = 6;
+    auto w = make_world(nodes);
+    for (std::size_t a = 0; a < nodes; ++a)
+        for (std::size_t b = 0; b < nodes; ++b)
+            if (a != b)
+                give(w, a, core::peer_opened{b + 1});
+    while (!w.messages.empty())
+        deliver_message(w, 0);
+    int appends = 0;
+    constexpr int orders = 1'000; // a second, one each millisecond
+    for (int i = 0; i < orders; ++i)
+    {
+        ask_order(w, static_cast<std::size_t>(i) % nodes, std::to_string(i));
+        pass_time(w, 1ms);
+        while (!w.appends.empty())
+        {
+            take_append(w, 0, true);
+            appends++;
+        }
+        read_log(w, static_cast<std::size_t>(i) % nodes);
+        while (!w.dispatches.empty())
+            run_dispatch(w, 0, true, false);
+    }
+    auto const budget = w.nodes[0].settings.append_budget;
+    CHECK(appends <= budget + static_cast<int>(nodes));
+}
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -109,7 +109,9 @@
 {
     core::effects out;
     auto& s = w.nodes[node];
-    core::reduce(s, {w.now, std::move(what)}, out);
+    core::event const e{w.now, std::move(what)};
+    w.given.emplace_back(node, e);
+    core::reduce(s, e, out);
     filer file{w, node, s.settings.incarnation};
     for (auto const& it : out)
         std::visit(file, it);
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -47,6 +47,9 @@
     std::vector<pending<core::event>> late_events;
     std::vector<pending<core::send_peer>> messages;
 
+    // What was given to nodes, in order; for golden files.
+    std::vector<std::pair<std::size_t, core::event>> given;
+
     // What was seen outside.
     std::map<core::request_id, std::string> keys; // of orders asked
     std::map<std::string, int> runs_by_key;       // at the order desk
