Judge failures and slowness of a new version by separate sequential tests

Traced: the old version's rate was taken from few answers as if it were exact, and anew in each stage; the mean that slowness is held against moved by 12 %. Ruled out: the share (never over 2 in 100), the deadline (ended at 85 s). Change: two tests (failed, slow), upper end of the old version's rate over the whole move, a steadier mean, easier passes in early stages.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -286,8 +286,9 @@
 // Cumulative counts of one node for one version under a move.
 struct version_counts
 {
-    std::uint64_t answers = 0; // whole ones, good or bad, and failures
-    std::uint64_t bad = 0;     // failed, or slow against the old version
+    std::uint64_t answers = 0; // ended calls, whole or failed
+    std::uint64_t failed = 0;
+    std::uint64_t slow = 0; // first chunk late against the old version's mean
 };
 
 struct move_counts
@@ -639,8 +640,8 @@
     offset started = 0;          // offset of the move's own record
     offset revision = 0;         // of the last record, steps included
     time_point stage_since{};
-    version_counts own_from; // of this stage, this node
-    version_counts own_to;
+    version_counts own_from; // of the whole move, this node
+    version_counts own_to;   // of this stage, this node
     double baseline_us = 0; // moving mean of the old version's first token
     std::map<std::string, move_counts> others; // by node
     std::uint64_t offered = 0; // requests of the route seen in this stage
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -158,7 +158,7 @@
 PAPAYAHOOK_JSON(version_veto, move, started, reason)
 PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
                 caller_address)
-PAPAYAHOOK_JSON(version_counts, answers, bad)
+PAPAYAHOOK_JSON(version_counts, answers, failed, slow)
 PAPAYAHOOK_JSON(move_counts, move, node, incarnation, started, stage, from, to)
 PAPAYAHOOK_JSON(news, leaving, vetoes, members, counts)
 PAPAYAHOOK_JSON(config_request, from)
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -126,7 +126,6 @@
     m.stage = it.stage;
     m.revision = entry.at;
     m.stage_since = entry.written;
-    m.own_from = {};
     m.own_to = {};
     m.others.clear();
     m.offered = 0;
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -10,12 +10,14 @@
 
 using namespace std::chrono_literals;
 
-// Error rates of the sequential test: a good version is vetoed in one stage
-// of a thousand, a bad one passes a stage in one of fifty.
-constexpr double false_veto = 0.001;
-constexpr double false_pass = 0.02;
-constexpr double least_bad_rate = 0.02; // assumed of the old version
-constexpr double baseline_step = 0.1;
+// Error rates of the sequential tests: a good version is vetoed in one stage
+// of two thousand. A bad one may pass an early stage more easily than a late
+// one, for the next stage tests it again at a share that is still bounded.
+constexpr double false_veto = 0.0005;
+constexpr double false_pass[] = {0.05, 0.05, 0.02, 0.02}; // by stage
+constexpr double least_rate = 0.02; // of failed or slow, assumed of the old
+constexpr double first_token_step = 0.1;
+constexpr double baseline_step = 0.02;
 constexpr double slow_floor_us = 5'000; // below this nothing counts as slow
 constexpr auto step_patience = 500ms;   // per rank before the next one asks
 constexpr auto step_repeat = 3s;
@@ -32,35 +34,63 @@
 version_counts sum_of(move_state const& m, bool new_version)
 {
     auto out = new_version ? m.own_to : m.own_from;
-    for (auto const& [node, it] : m.others) {
+    for (auto const& [node, it] : m.others)
+    {
         auto const& add = new_version ? it.to : it.from;
         out.answers += add.answers;
-        out.bad += add.bad;
+        out.failed += add.failed;
+        out.slow += add.slow;
     }
     return out;
 }
 
-// Sequential probability ratio test of "as good as the old version" against
-// "worse by max_bad_excess".
+// Upper end of what the old version's rate may be, from n answers: taking the
+// mean for the truth would veto good versions while n is small.
+double upper_rate(std::uint64_t hits, std::uint64_t n)
+{
+    constexpr double deviations = 1.5;
+    double const size = static_cast<double>(n) + 10;
+    double const mean = (static_cast<double>(hits) + 0.2) / size;
+    double const upper =
+        mean + deviations * std::sqrt(mean * (1 - mean) / size);
+    return std::clamp(upper, least_rate, 0.5);
+}
+
+// Wald's sequential probability ratio test: the old version's rate against
+// that rate plus `excess`, over the new version's answers.
+verdict test_rate(double old_rate, double excess, std::uint64_t hits,
+                  std::uint64_t n, double pass)
+{
+    double const p1 = std::min(0.95, old_rate + excess);
+    auto const bad = static_cast<double>(hits);
+    auto const good = static_cast<double>(n) - bad;
+    double const ratio = bad * std::log(p1 / old_rate) +
+                         good * std::log((1 - p1) / (1 - old_rate));
+    if (ratio >= std::log((1 - pass) / false_veto))
+        return verdict::bad;
+    return ratio <= std::log(pass / (1 - false_veto)) ? verdict::good
+                                                       : verdict::open;
+}
+
+// Failures and slowness are tested apart: slow answers are common in any
+// version, and together they would hide failures, which are rare.
 verdict judge(move_state const& m)
 {
     auto const from = sum_of(m, false);
     auto const to = sum_of(m, true);
-    double const old_rate = (static_cast<double>(from.bad) + 1) /
-                            (static_cast<double>(from.answers) + 20);
-    double const p0 = std::clamp(old_rate, least_bad_rate, 0.5);
-    double const p1 = std::min(0.95, p0 + m.spec.max_bad_excess);
-    auto const bad = static_cast<double>(to.bad);
-    auto const good = static_cast<double>(to.answers) - bad;
-    double const ratio =
-        bad * std::log(p1 / p0) + good * std::log((1 - p1) / (1 - p0));
-    if (ratio >= std::log((1 - false_pass) / false_veto))
+    auto const test = [&](auto field) {
+        return test_rate(upper_rate(from.*field, from.answers),
+                         m.spec.max_bad_excess, to.*field, to.answers,
+                         false_pass[m.stage]);
+    };
+    auto const failed = test(&version_counts::failed);
+    auto const slow = test(&version_counts::slow);
+    if (failed == verdict::bad || slow == verdict::bad)
         return verdict::bad;
     bool const enough =
         to.answers >= static_cast<std::uint64_t>(m.spec.min_samples);
-    if (enough && ratio <= std::log(false_pass / (1 - false_veto)))
-        return verdict::good;
-    return verdict::open;
+    bool const good = failed == verdict::good && slow == verdict::good;
+    return good && enough ? verdict::good : verdict::open;
 }
 
 bool is_late(node_state const& s, move_state const& m)
@@ -107,7 +137,9 @@
 std::string evidence(move_state const& m)
 {
     auto const show = [](version_counts const& it) {
-        return std::to_string(it.bad) + " bad of " + std::to_string(it.answers);
+        return std::to_string(it.failed) + " failed and " +
+               std::to_string(it.slow) + " slow of " +
+               std::to_string(it.answers);
     };
     return "new " + show(sum_of(m, true)) + ", old " + show(sum_of(m, false));
 }
@@ -209,12 +241,15 @@
 {
     auto const us = static_cast<double>(first_token.count());
     auto& mean = s.endpoints[r.endpoint].first_token_us;
-    mean = mean == 0 ? us : mean + baseline_step * (us - mean);
+    mean = mean == 0 ? us : mean + first_token_step * (us - mean);
     auto* const m = move_of(s, r);
     if (m == nullptr || r.counts_new)
         return;
+    // A plain mean at first, then a moving one: slow enough that its own
+    // noise does not make the new version look slow.
     auto& base = m->baseline_us;
-    base = base == 0 ? us : base + baseline_step * (us - base);
+    double const n = static_cast<double>(m->own_from.answers) + 1;
+    base += std::max(baseline_step, 1 / n) * (us - base);
 }
 
 bool is_slow(node_state const& s, request_state const& r, duration first_token)
@@ -235,8 +270,8 @@
         return;
     auto& counts = r.counts_new ? m->own_to : m->own_from;
     counts.answers++;
-    if (bad || r.slow)
-        counts.bad++;
+    counts.failed += bad ? 1 : 0;
+    counts.slow += r.slow ? 1 : 0;
     // Strong harm must not wait for the next tick.
     if (bad && r.counts_new && judge(*m) == verdict::bad)
         m->step_due_since = {};
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -132,12 +132,12 @@
     core::news item;
     item.leaving.push_back({"r1", "7"});
     item.vetoes.push_back({"m", 12, "bad"});
-    item.counts.push_back({"m", "n1", 3, 12, 1, {4, 1}, {2, 2}});
+    item.counts.push_back({"m", "n1", 3, 12, 1, {4, 1, 0}, {2, 2, 1}});
     auto const back = codec::message_from_cbor(codec::message_to_cbor(item));
     auto const& it = std::get<core::news>(back);
     CHECK(it.leaving == item.leaving);
     CHECK(it.vetoes.at(0).started == 12);
-    CHECK(it.counts.at(0).to.bad == 2);
+    CHECK(it.counts.at(0).to.failed == 2);
 }
 
 TEST_CASE("a shared answer keeps bytes that are not text")
