Route by a load estimate that never goes blind; benches for routing, moves, capacity

Cause: reports older than 3 s were dropped and other nodes' calls with them; with 23 endpoints and 4 polls a second most reports are older. Change: a report counts for less as it ages; without one, other nodes are taken to send what this one sends.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -28,7 +28,7 @@
 
 core::member_news member(int i)
 {
-    return {"n" + std::to_string(i), 1'796'000'000'000'000, 1, true,
+    return {"n" + std::to_string(i),         1'796'000'000'000'000, 1, true,
             "zone-" + std::to_string(i % 7), "10.0.0.1:8080"};
 }
 
@@ -36,8 +36,7 @@
 {
     auto s = make_node("n0", {.runners = runners, .zones = 7}, start);
     core::effects out;
-    for (std::uint64_t link = 1; link <= links; ++link)
-    {
+    for (std::uint64_t link = 1; link <= links; ++link) {
         core::reduce(s, {start, core::peer_opened{link}}, out);
         core::hello it;
         it.node = "n" + std::to_string(link);
@@ -69,16 +68,17 @@
     for (int i = 0; i < ticks; ++i)
         core::reduce(s, {at + i * 50ms, core::tick{}}, out);
     for (std::uint64_t link = 1; link <= links; ++link)
-        core::reduce(s,
-                     {at, core::peer_received{
-                              link, core::heartbeat{s.config.applied, 3}}},
-                     out);
+        core::reduce(
+            s,
+            {at,
+             core::peer_received{link, core::heartbeat{s.config.applied, 3}}},
+            out);
     for (int i = 0; i < polls; ++i)
         core::reduce(s,
-                     {at, core::endpoint_report{
-                              "r" + std::to_string((second * polls + i) %
-                                                   runners),
-                              "1", false, 5, 0}},
+                     {at,
+                      core::endpoint_report{
+                          "r" + std::to_string((second * polls + i) % runners),
+                          "1", false, 5, 0}},
                      out);
     if (second % list_every == 0)
         core::reduce(s, {at, full_list()}, out);
@@ -106,8 +106,7 @@
     core::effects out;
     constexpr int requests = 1'000;
     constexpr int tokens = 300;
-    for (int i = 0; i < requests; ++i)
-    {
+    for (int i = 0; i < requests; ++i) {
         core::reduce(s, {start, request("n0.1." + std::to_string(i))}, out);
         auto const call = s.next_call - 1;
         for (std::uint64_t t = 0; t < tokens; ++t)
@@ -122,14 +121,13 @@
     core::log_read read;
     read.stream = "claims";
     read.start = 1;
-    for (int i = 0; i < claims; ++i)
-    {
+    for (int i = 0; i < claims; ++i) {
         core::log_entry e;
         e.at = static_cast<core::offset>(i) + 1;
         e.written = start;
         core::claim_record rec;
-        rec.key = "organisation:0123456789abcdef0123456789abcdef" +
-                  std::to_string(i);
+        rec.key =
+            "organisation:0123456789abcdef0123456789abcdef" + std::to_string(i);
         rec.request = "n7.1796000000000000.1234567";
         rec.body_digest = "0123456789abcdef0123456789abcdef";
         e.record = rec;
@@ -154,10 +152,9 @@
                 }));
     auto const now = s.now;
     std::printf("heartbeat: %.2f us\n", microseconds_each(n, [&](int) {
-                    core::reduce(s,
-                                 {now, core::peer_received{
-                                           1, core::heartbeat{1, 3}}},
-                                 out);
+                    core::reduce(
+                        s, {now, core::peer_received{1, core::heartbeat{1, 3}}},
+                        out);
                     out.clear();
                 }));
     std::printf("news of a member: %.2f us\n", microseconds_each(n, [&](int i) {
@@ -169,24 +166,25 @@
                     out.clear();
                 }));
     auto const list = full_list();
-    std::printf("list of instances: %.2f us\n", microseconds_each(200, [&](int) {
+    std::printf("list of instances: %.2f us\n",
+                microseconds_each(200, [&](int) {
                     core::reduce(s, {now, list}, out);
                     out.clear();
                 }));
-    std::printf("request to dispatch: %.2f us\n",
-                microseconds_each(2'000, [&](int i) {
-                    core::reduce(
-                        s, {now, request("n0.1." + std::to_string(i))}, out);
-                    out.clear();
-                }));
-    std::printf("token: %.2f us\n", microseconds_each(n, [&](int i) {
-                    core::reduce(s,
-                                 {now, core::answer_chunk{
-                                           1, static_cast<std::uint64_t>(i),
-                                           "token "}},
-                                 out);
-                    out.clear();
-                }));
+    std::printf(
+        "request to dispatch: %.2f us\n", microseconds_each(2'000, [&](int i) {
+            core::reduce(s, {now, request("n0.1." + std::to_string(i))}, out);
+            out.clear();
+        }));
+    std::printf(
+        "token: %.2f us\n", microseconds_each(n, [&](int i) {
+            core::reduce(
+                s,
+                {now, core::answer_chunk{1, static_cast<std::uint64_t>(i),
+                                         "token "}},
+                out);
+            out.clear();
+        }));
 }
 
 void control(int seconds)
--- a/bench/fixture.hpp
+++ b/bench/fixture.hpp
@@ -69,6 +69,7 @@
     route.name = "chat";
     route.pool = "lm";
     route.version = "v1";
+    route.progress_timeout = 60s; // benches send few chunks
     read.entries.push_back(entry(2, now, route));
     for (int i = 0; i < z.runners + z.new_runners; ++i)
         read.entries.push_back(
--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -28,8 +28,14 @@
     std::function<double(double seconds, double share)> slowness;
 };
 
-double none(double, double) { return 0.01; }
-double even(double, double) { return 1; }
+double none(double, double)
+{
+    return 0.01;
+}
+double even(double, double)
+{
+    return 1;
+}
 
 std::vector<behaviour> const kinds{
     {"good", true, 100, none, even},
@@ -40,20 +46,27 @@
      [](double s, double) { return s > 60 ? 0.25 : 0.01; }, even},
     {"fails under load", false, 100,
      [](double, double share) { return share > 0.3 ? 0.25 : 0.01; }, even},
-    {"slow at once", false, 100, none, [](double, double) { return 4.0; }},
+    {"slow at once", false, 100, none,
+     [](double, double) {
+         return 4.0;
+     }},
     {"slow later", false, 100, none,
-     [](double s, double) { return s > 60 ? 4.0 : 1.0; }},
+     [](double s, double) {
+         return s > 60 ? 4.0 : 1.0;
+     }},
     {"slow under load", false, 100, none,
-     [](double, double share) { return share > 0.3 ? 4.0 : 1.0; }},
+     [](double, double share) {
+         return share > 0.3 ? 4.0 : 1.0;
+     }},
 };
 
 struct result
 {
     bool finished = false;
     bool ended = false;
-    double ended_at = 0;  // seconds
-    int bad_answers = 0;  // by the new version, while it was bad
-    int canary = 0;       // requests to it in the first stage
+    double ended_at = 0; // seconds
+    int bad_answers = 0; // by the new version, while it was bad
+    int canary = 0;      // requests to it in the first stage
     int canary_of = 0;
 };
 
@@ -93,16 +106,14 @@
 {
     core::effects const taken = std::move(out);
     out.clear();
-    for (auto const& it : taken)
-    {
+    for (auto const& it : taken) {
         auto const* const a = std::get_if<core::append>(&it);
         if (a == nullptr || a->stream != "config")
             continue;
         core::log_read read;
         read.stream = "config";
         read.start = 1;
-        for (auto const& rec : a->records)
-        {
+        for (auto const& rec : a->records) {
             core::log_entry e;
             e.at = s.config.applied + 1 + read.entries.size();
             e.written = s.now;
@@ -120,8 +131,11 @@
 result run_move(behaviour const& kind, std::uint64_t seed)
 {
     source from{std::mt19937_64(seed), kind};
-    auto s = make_node("n1", {.runners = 4, .slots = 1'000'000,
-                              .new_version = "v2", .new_runners = 4},
+    auto s = make_node("n1",
+                       {.runners = 4,
+                        .slots = 1'000'000,
+                        .new_version = "v2",
+                        .new_runners = 4},
                        start);
     core::version_move m;
     m.name = "m";
@@ -141,21 +155,18 @@
     auto const& move = s.config.moves.at("m");
     std::uint64_t number = 0;
     auto now = start;
-    for (; now < start + deadline && !move.end; now += 50ms)
-    {
+    for (; now < start + deadline && !move.end; now += 50ms) {
         double const due = seconds_of(now) * kind.per_second;
         int const n = static_cast<int>(due - static_cast<double>(number));
-        for (int i = 0; i < n; ++i)
-        {
+        for (int i = 0; i < n; ++i) {
             double const t = seconds_of(now);
             double const share =
                 static_cast<double>(move.sent_to) /
                 static_cast<double>(std::max<std::uint64_t>(1, move.offered));
-            core::reduce(
-                s, {now, request("n1.1." + std::to_string(++number))}, out);
+            core::reduce(s, {now, request("n1.1." + std::to_string(++number))},
+                         out);
             r.canary_of += move.stage == 0 ? 1 : 0;
-            for (std::size_t k = 0; k < out.size(); ++k)
-            {
+            for (std::size_t k = 0; k < out.size(); ++k) {
                 auto const* const d = std::get_if<core::dispatch>(&out[k]);
                 if (d == nullptr)
                     continue;
@@ -164,14 +175,13 @@
                 r.canary += is_new && move.stage == 0 ? 1 : 0;
                 r.bad_answers += is_new && from.is_bad_now(t, share) ? 1 : 0;
                 bool const fails = from.fails(is_new, t, share);
-                auto const at = now + (fails ? 1ms
-                                             : from.latency(is_new, t, share));
+                auto const at =
+                    now + (fails ? 1ms : from.latency(is_new, t, share));
                 // The answer is handed in at once; its time is its own.
                 auto const keep = s.now;
                 if (fails)
                     core::reduce(s, {at, core::answer_head{call, 500}}, out);
-                else
-                {
+                else {
                     core::reduce(s, {at, core::answer_chunk{call, 0, "x"}},
                                  out);
                     core::reduce(s, {at, core::answer_end{call, 1}}, out);
@@ -214,17 +224,14 @@
     int step = 0;
     double const total = std::chrono::duration<double>(deadline).count();
     double const gap = 1.0 / kind.per_second;
-    for (double t = 0; t < total; t += gap)
-    {
+    for (double t = 0; t < total; t += gap) {
         auto const now = std::min<int>(3, static_cast<int>(t / step_seconds));
-        if (now != step)
-        {
+        if (now != step) {
             step = now;
             sent = offered = answers = errors = 0;
             slow_sum = 0;
         }
-        if (t >= 4 * step_seconds)
-        {
+        if (t >= 4 * step_seconds) {
             r.finished = true;
             r.ended = true;
             r.ended_at = t;
@@ -237,8 +244,7 @@
         bool const fails = from.fails(is_new, t, share);
         auto const ms =
             static_cast<double>(from.latency(is_new, t, share).count()) / 1e3;
-        if (!is_new)
-        {
+        if (!is_new) {
             old_sum += ms;
             old_answers++;
             continue;
@@ -249,10 +255,9 @@
         slow_sum += ms;
         r.bad_answers += from.is_bad_now(t, share) ? 1 : 0;
         bool const enough = answers >= least_samples;
-        bool const slow = old_answers > 0 && slow_sum / answers >
-                                                 2 * old_sum / old_answers;
-        if (enough && (errors > most_errors * answers || slow))
-        {
+        bool const slow =
+            old_answers > 0 && slow_sum / answers > 2 * old_sum / old_answers;
+        if (enough && (errors > most_errors * answers || slow)) {
             r.ended = true;
             r.ended_at = t;
             return r;
@@ -289,8 +294,7 @@
     double bad = 0;
     double time = 0;
     int over = 0;
-    for (auto const& it : all)
-    {
+    for (auto const& it : all) {
         bad += it.bad_answers;
         time += it.ended_at;
         over += it.canary * 50 > it.canary_of ? 1 : 0;
@@ -308,8 +312,7 @@
                 "%6s\n",
                 moves, "new version", "policy", "right", "bad answers",
                 "ended after", "over 2%");
-    for (auto const& kind : kinds)
-    {
+    for (auto const& kind : kinds) {
         print("papayahook", kind, run_all(kind, run_move, moves));
         print("fixed steps", kind, run_all(kind, run_fixed, moves));
     }
--- a/bench/process_bench.cpp
+++ b/bench/process_bench.cpp
@@ -10,8 +10,8 @@
 #include <algorithm>
 #include <cstdio>
 #include <iostream>
-#include <numeric>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <sstream>
 #include <thread>
 
@@ -35,8 +35,8 @@
     if (all.empty())
         return 0;
     std::ranges::sort(all);
-    auto const at = static_cast<std::size_t>(
-        share * static_cast<double>(all.size() - 1));
+    auto const at =
+        static_cast<std::size_t>(share * static_cast<double>(all.size() - 1));
     return all[at];
 }
 
@@ -74,8 +74,7 @@
     std::this_thread::sleep_for(period);
     reading sum;
     double worst_bytes = 0;
-    for (std::size_t i = 0; i < f.nodes.size(); ++i)
-    {
+    for (std::size_t i = 0; i < f.nodes.size(); ++i) {
         auto const now = read_node(f.nodes[i]);
         sum.cpu_ms += now.cpu_ms - before[i].cpu_ms;
         sum.resident_mb += now.resident_mb;
@@ -115,18 +114,16 @@
 latency run_streams(std::string const& address, int n, bool direct)
 {
     std::vector<call_plan> plans;
-    for (int i = 0; i < n; ++i)
-    {
+    for (int i = 0; i < n; ++i) {
         plans.push_back(
             completion(address, test_key, "chat", "hello", 50, true));
         plans.back().start = std::chrono::milliseconds(i * 1000 / n);
     }
     latency out;
-    for (auto const& it : run_calls(plans))
-    {
+    for (auto const& it : run_calls(plans)) {
         if (it.status != 200)
-            std::cout << (direct ? "direct" : "node") << " failed: "
-                      << it.status << '\n';
+            std::cout << (direct ? "direct" : "node")
+                      << " failed: " << it.status << '\n';
         out.first.push_back(static_cast<double>(it.first_byte.count()) / 1e3);
         out.total.push_back(static_cast<double>(it.took.count()) / 1e3);
     }
@@ -185,8 +182,7 @@
     std::vector<int> counts(4);
     for (std::size_t t = 0; t < counts.size(); ++t)
         threads.emplace_back([&, t] {
-            for (int i = 0; i < rounds; ++i)
-            {
+            for (int i = 0; i < rounds; ++i) {
                 std::vector<call_plan> plans(
                     callers / counts.size(),
                     order(f.node(0).caller, test_key, "stock", "x", ""));
@@ -221,8 +217,7 @@
     };
     auto const before = appends();
     std::vector<call_plan> plans;
-    for (int i = 0; i < per_second * seconds; ++i)
-    {
+    for (int i = 0; i < per_second * seconds; ++i) {
         auto const name = "o" + std::to_string(i);
         plans.push_back(order(f.node(static_cast<std::size_t>(i) % 6).caller,
                               test_key, "orders", name, name));
@@ -230,17 +225,15 @@
     }
     std::vector<double> took;
     int whole = 0;
-    for (auto const& it : run_calls(plans))
-    {
+    for (auto const& it : run_calls(plans)) {
         whole += it.status == 200 ? 1 : 0;
         took.push_back(static_cast<double>(it.took.count()) / 1e3);
     }
     std::printf("%d orders a second through 6 nodes: %d of %zu answered, %.0f "
                 "appends a second, latency p50 %.1f ms p99 %.1f ms (the desk "
                 "works 5 ms)\n",
-                per_second, whole, plans.size(),
-                (appends() - before) / seconds, percentile(took, 0.5),
-                percentile(took, 0.99));
+                per_second, whole, plans.size(), (appends() - before) / seconds,
+                percentile(took, 0.5), percentile(took, 0.99));
 }
 
 } // namespace
--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -596,13 +596,13 @@
     double retry_budget = 0.2;     // retries per first dispatch, per route
     int claim_batch = 256;         // claim records per append
     int append_budget = 300; // appends of claims a second, all nodes together
-    std::chrono::milliseconds outcome_linger{100}; // outcomes wait for claims
+    std::chrono::milliseconds outcome_linger{100};   // outcomes wait for claims
     std::size_t max_shared_body = 16 * 1024;         // answer kept on the log
     std::size_t max_shared_bytes = 16 * 1024 * 1024; // of all such answers
     std::chrono::milliseconds hop_cost{2};           // endpoint in another zone
     std::chrono::microseconds prefill_per_token{100};
     std::chrono::milliseconds endpoint_pause{1'000}; // after failures
-    std::chrono::milliseconds report_horizon{3'000}; // older load: ignored
+    std::chrono::milliseconds report_horizon{6'000}; // older load: ignored
     std::chrono::milliseconds heartbeat_period{1'000};
     std::chrono::milliseconds peer_timeout{3'500};
     std::chrono::milliseconds stage_time{3'000};     // shortest stay in a stage
@@ -642,7 +642,7 @@
     time_point stage_since{};
     version_counts own_from; // of the whole move, this node
     version_counts own_to;   // of this stage, this node
-    double baseline_us = 0; // moving mean of the old version's first token
+    double baseline_us = 0;  // moving mean of the old version's first token
     std::map<std::string, move_counts> others; // by node
     std::uint64_t offered = 0; // requests of the route seen in this stage
     std::uint64_t sent_to = 0; // of these, to the new version
@@ -755,8 +755,8 @@
     std::deque<std::pair<time_point, std::string>> by_age;
     std::vector<claim_record> batch; // waits for the append in flight
     std::uint64_t append_open = 0;   // 0: none in flight
-    time_point flushed_at{};   // last append of this node
-    time_point outcomes_since{}; // oldest outcome in the batch
+    time_point flushed_at{};         // last append of this node
+    time_point outcomes_since{};     // oldest outcome in the batch
 };
 
 struct peer_state
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -309,11 +309,12 @@
 PAPAYAHOOK_JSON(wake, at)
 PAPAYAHOOK_JSON(log_event, number, subject, peer, detail)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
-                max_queue, max_backlog, max_attempts, retry_budget, claim_batch, append_budget, outcome_linger,
-                max_shared_body, max_shared_bytes, hop_cost, prefill_per_token,
-                endpoint_pause, report_horizon, heartbeat_period, peer_timeout,
-                stage_time, move_margin, answer_linger, claim_horizon,
-                append_retry, checkpoint_every, checkpoint_period)
+                max_queue, max_backlog, max_attempts, retry_budget, claim_batch,
+                append_budget, outcome_linger, max_shared_body,
+                max_shared_bytes, hop_cost, prefill_per_token, endpoint_pause,
+                report_horizon, heartbeat_period, peer_timeout, stage_time,
+                move_margin, answer_linger, claim_horizon, append_retry,
+                checkpoint_every, checkpoint_period)
 PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
                 failed_answers, dispatches, retries, resumed_streams,
                 tokens_recomputed, appends, claims, peer_messages)
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -34,8 +34,7 @@
 version_counts sum_of(move_state const& m, bool new_version)
 {
     auto out = new_version ? m.own_to : m.own_from;
-    for (auto const& [node, it] : m.others)
-    {
+    for (auto const& [node, it] : m.others) {
         auto const& add = new_version ? it.to : it.from;
         out.answers += add.answers;
         out.failed += add.failed;
@@ -69,7 +68,7 @@
     if (ratio >= std::log((1 - pass) / false_veto))
         return verdict::bad;
     return ratio <= std::log(pass / (1 - false_veto)) ? verdict::good
-                                                       : verdict::open;
+                                                      : verdict::open;
 }
 
 // Failures and slowness are tested apart: slow answers are common in any
--- a/src/core/once.cpp
+++ b/src/core/once.cpp
@@ -277,8 +277,7 @@
     if (once.append_open != 0 || once.batch.empty())
         return;
     auto const due = next_flush(s);
-    if (due > s.now)
-    {
+    if (due > s.now) {
         out.push_back(wake{due});
         return;
     }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -13,16 +13,43 @@
 constexpr std::size_t max_leaving = 4096;
 constexpr double queue_cost_us = 40'000; // a full endpoint against an idle one
 
-// Running and waiting at the endpoint: its last report, moved on by what this
-// node has started and ended since. An old report is worth nothing.
-int expected_load(node_state const& s, endpoint_state const& e)
+// What is known of the load on a pool, for endpoints without a fresh report.
+struct pool_load
 {
-    bool const fresh = e.reported_at != time_point{} &&
-                       e.reported_at + s.settings.report_horizon > s.now;
-    if (!fresh)
-        return e.in_flight;
-    int const moved_on = e.reported + e.in_flight - e.own_at_report;
-    return std::max(moved_on, e.in_flight);
+    double others_mean = 0; // calls of all other nodes, per endpoint
+};
+
+// Other nodes are taken to send what this one sends, spread evenly.
+pool_load load_of_pool(node_state const& s, std::string const& pool)
+{
+    int own = 0;
+    int endpoints = 0;
+    for (auto const& [name, it] : s.config.endpoints) {
+        if (it.value.pool != pool || is_leaving(s, it.value))
+            continue;
+        auto const known = s.endpoints.find(name);
+        own += known == s.endpoints.end() ? 0 : known->second.in_flight;
+        endpoints++;
+    }
+    auto const live = std::ranges::count_if(
+        s.members, [](auto const& it) { return it.second.up; });
+    auto const others =
+        static_cast<double>(std::max<std::ptrdiff_t>(0, live - 1));
+    return {endpoints == 0 ? 0 : others * own / endpoints};
+}
+
+// Running and waiting at the endpoint: own calls, and those of others by its
+// last report, which counts for less the older it is.
+double expected_load(node_state const& s, endpoint_state const& e,
+                     pool_load const& pool)
+{
+    double trust = 0;
+    if (e.reported_at != time_point{})
+        trust = std::max(
+            0.0, 1.0 - std::chrono::duration<double>(s.now - e.reported_at) /
+                           duration(s.settings.report_horizon));
+    double const reported = std::max(0, e.reported - e.own_at_report);
+    return e.in_flight + trust * reported + (1 - trust) * pool.others_mean;
 }
 
 int cached_tokens(endpoint_state const& e, request_arrived const& asked)
@@ -51,7 +78,8 @@
 
 // Microseconds to the first token at this endpoint, as far as is known here.
 double expected_cost(node_state const& s, request_state const& r,
-                     endpoint const& e, endpoint_state const& known)
+                     endpoint const& e, endpoint_state const& known,
+                     double load)
 {
     double const hop =
         e.zone == s.settings.zone ? 0.0 : duration(s.settings.hop_cost).count();
@@ -62,8 +90,7 @@
                                ? static_cast<double>(uncached) *
                                      s.settings.prefill_per_token.count()
                                : 0.0;
-    double const fill =
-        static_cast<double>(expected_load(s, known)) / std::max(1, e.slots);
+    double const fill = load / std::max(1, e.slots);
     return hop + prefill + fill * fill * queue_cost_us;
 }
 
@@ -89,6 +116,7 @@
                             std::string const& version)
 {
     auto const& it = s.config.routes.at(r.asked.route).value;
+    auto const pool = load_of_pool(s, it.pool);
     std::string best;
     bool best_untried = false;
     double best_cost = std::numeric_limits<double>::max();
@@ -97,14 +125,15 @@
         if (!serves(s, e, it.pool, version, r.asked.schema_version))
             continue;
         auto const& known = s.endpoints[name];
-        bool const has_room = expected_load(s, known) < e.slots;
+        double const load = expected_load(s, known, pool);
+        bool const has_room = known.in_flight < e.slots && load < e.slots;
         if (known.paused_until > s.now || !has_room)
             continue;
         bool const untried = std::ranges::find(r.tried, name) == r.tried.end();
         // Ties are broken by request, or all nodes would pick the same one.
         double const jitter =
             static_cast<double>(hash_of(name + r.asked.id) % 1000);
-        double const cost = expected_cost(s, r, e, known) + jitter;
+        double const cost = expected_cost(s, r, e, known, load) + jitter;
         if (untried < best_untried)
             continue;
         if (untried > best_untried || cost < best_cost) {
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -59,13 +59,12 @@
     n.wake_at = it.at;
     auto const delay =
         std::chrono::ceil<std::chrono::milliseconds>(it.at - now(n));
-    after(n, std::max(delay, std::chrono::milliseconds(0)),
-          [&n, at = it.at] {
-              if (n.wake_at != at)
-                  return; // an earlier one took its place
-              n.wake_at.reset();
-              handle(n, core::tick{});
-          });
+    after(n, std::max(delay, std::chrono::milliseconds(0)), [&n, at = it.at] {
+        if (n.wake_at != at)
+            return; // an earlier one took its place
+        n.wake_at.reset();
+        handle(n, core::tick{});
+    });
 }
 
 void perform(node& n, core::exit_process const&)
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -28,8 +28,7 @@
     core::node_state state;
     state.settings = codec::settings_from_line(session.at(0));
     std::vector<std::string> out;
-    for (std::size_t i = 1; i < session.size(); ++i)
-    {
+    for (std::size_t i = 1; i < session.size(); ++i) {
         core::effects effects;
         core::reduce(state, codec::event_from_line(session[i]), effects);
         std::ranges::transform(effects, std::back_inserter(out),
@@ -43,12 +42,10 @@
     auto const file =
         std::filesystem::temp_directory_path() / "papayahook-codec-test.toml";
     std::ofstream(file) << text;
-    try
-    {
+    try {
         codec::read_config_file(file.string(), {});
     }
-    catch (codec::config_error const& e)
-    {
+    catch (codec::config_error const& e) {
         return std::string(e.what()).substr(file.string().size());
     }
     return {};
@@ -60,8 +57,7 @@
 {
     int sessions = 0;
     for (auto const& it :
-         std::filesystem::directory_iterator(PAPAYAHOOK_GOLDEN_DIR))
-    {
+         std::filesystem::directory_iterator(PAPAYAHOOK_GOLDEN_DIR)) {
         if (it.path().extension() != ".events")
             continue;
         auto effects = it.path();
@@ -80,12 +76,10 @@
 TEST_CASE("no bytes from a peer do more than raise the typed error")
 {
     REQUIRE(rc::check("cbor", [](std::string const& bytes) {
-        try
-        {
+        try {
             codec::message_from_cbor(bytes);
         }
-        catch (std::invalid_argument const&)
-        {
+        catch (std::invalid_argument const&) {
         }
     }));
     REQUIRE(rc::check("cut off", [](std::uint8_t at, std::uint8_t value) {
@@ -94,12 +88,10 @@
         auto bytes = codec::message_to_cbor(item);
         bytes[at % bytes.size()] = static_cast<char>(value);
         bytes.resize(bytes.size() - value % 3);
-        try
-        {
+        try {
             codec::message_from_cbor(bytes);
         }
-        catch (std::invalid_argument const&)
-        {
+        catch (std::invalid_argument const&) {
         }
     }));
 }
@@ -116,13 +108,11 @@
         runtime::parse_runner_line("data: " + body);
     }));
     REQUIRE(rc::check("log", [](std::string const& body) {
-        try
-        {
+        try {
             codec::read_from_json("config", body);
             RC_FAIL("accepted");
         }
-        catch (std::invalid_argument const&)
-        {
+        catch (std::invalid_argument const&) {
         }
     }));
 }
@@ -153,7 +143,8 @@
     auto const data = text.substr(at, text.rfind("]") - at);
     auto const read = codec::read_from_json(
         "claims", R"({"start":1,"end":1,"records":[{"offset":1,"time_ms":5,)"
-                  R"("id":"a","data":)" + data + "}]}");
+                  R"("id":"a","data":)" +
+                      data + "}]}");
     auto const& back = std::get<core::claim_record>(read.entries.at(0).record);
     CHECK(back.body == rec.body);
 }
--- a/test/golden_writer.cpp
+++ b/test/golden_writer.cpp
@@ -21,8 +21,7 @@
     core::node_state state;
     state.settings = w.nodes[node].settings;
     events << codec::settings_to_line(state.settings) << '\n';
-    for (auto const& [to, e] : w.given)
-    {
+    for (auto const& [to, e] : w.given) {
         if (to != node)
             continue;
         events << codec::event_to_line(e) << '\n';
@@ -43,8 +42,7 @@
 
 void settle_shortly(world& w)
 {
-    for (int i = 0; i < 4; ++i)
-    {
+    for (int i = 0; i < 4; ++i) {
         while (!w.appends.empty())
             take_append(w, 0, true);
         while (!w.dispatches.empty())
@@ -98,8 +96,7 @@
     give(w, 0, core::peer_received{2, word});
     while (!w.messages.empty())
         deliver_message(w, 0);
-    for (int i = 0; i < 4; ++i)
-    {
+    for (int i = 0; i < 4; ++i) {
         pass_time(w, 600ms);
         while (!w.appends.empty())
             take_append(w, 0, true);
@@ -152,8 +149,7 @@
 
 int main(int argc, char** argv)
 {
-    if (argc != 2)
-    {
+    if (argc != 2) {
         std::cerr << "golden_writer FOLDER\n";
         return 2;
     }
--- a/test/once_test.cpp
+++ b/test/once_test.cpp
@@ -218,12 +218,10 @@
         deliver_message(w, 0);
     int appends = 0;
     constexpr int orders = 1'000; // a second, one each millisecond
-    for (int i = 0; i < orders; ++i)
-    {
+    for (int i = 0; i < orders; ++i) {
         ask_order(w, static_cast<std::size_t>(i) % nodes, std::to_string(i));
         pass_time(w, 1ms);
-        while (!w.appends.empty())
-        {
+        while (!w.appends.empty()) {
             take_append(w, 0, true);
             appends++;
         }
--- a/test/support/processes.cpp
+++ b/test/support/processes.cpp
@@ -124,10 +124,8 @@
     constexpr int lowest = 12'000;
     constexpr int count = 20'000;
     static int next = ::getpid() * 97;
-    for (int i = 0; i < count; ++i)
-    {
-        auto const port =
-            static_cast<std::uint16_t>(lowest + next++ % count);
+    for (int i = 0; i < count; ++i) {
+        auto const port = static_cast<std::uint16_t>(lowest + next++ % count);
         int const fd = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in at{};
         at.sin_family = AF_INET;
