--- a/fakes/log.cpp
+++ b/fakes/log.cpp
@@ -169,7 +169,7 @@
 void run_log(asio::io_context& io, log_options const& options)
 {
     log_service l{io, options.retention, {}, false, 0ms, 0, 0, 0};
-    serve(io, options.listen, [&l](http_request in, responder_ptr out) {
+    serve(io, options.listen, [&l](http_request in, responder_ptr const& out) {
         if (in.path == "/fault") {
             set_faults(l, parse_body(in));
             send_json(out, 200, json::object());
--- a/fakes/orders.cpp
+++ b/fakes/orders.cpp
@@ -80,24 +80,25 @@
 void run_orders(asio::io_context& io, orders_options const& options)
 {
     order_desk d{io, options.work, {}, 0, false, 0, false, 0, 0};
-    serve(io, options.listen, [&d](http_request in, responder_ptr out) {
-        if (in.path == "/fault") {
-            set_faults(d, parse_body(in));
-            send_json(out, 200, json::object());
-        }
-        else if (in.path == "/counts") {
-            send_json(out, 200, json(d.runs));
-        }
-        else if (in.path == "/load") {
-            send_json(out, 200,
-                      {{"running", d.running},
-                       {"waiting", 0},
-                       {"leaving", d.leaving}});
-        }
-        else {
-            on_order(d, in, out);
-        }
-    });
+    serve(io, options.listen,
+          [&d](http_request const& in, responder_ptr const& out) {
+              if (in.path == "/fault") {
+                  set_faults(d, parse_body(in));
+                  send_json(out, 200, json::object());
+              }
+              else if (in.path == "/counts") {
+                  send_json(out, 200, json(d.runs));
+              }
+              else if (in.path == "/load") {
+                  send_json(out, 200,
+                            {{"running", d.running},
+                             {"waiting", 0},
+                             {"leaving", d.leaving}});
+              }
+              else {
+                  on_order(d, in, out);
+              }
+          });
 }
 
 } // namespace papayahook::fakes
--- a/fakes/runner.cpp
+++ b/fakes/runner.cpp
@@ -204,27 +204,28 @@
 void run_runner(asio::io_context& io, runner_options const& options)
 {
     model_runner m(io, options);
-    serve(io, options.listen, [&m](http_request in, responder_ptr out) {
-        if (in.path == "/fault") {
-            set_faults(m, parse_body(in));
-            send_json(out, 200, json::object());
-        }
-        else if (in.path == "/load") {
-            send_json(out, 200,
-                      {{"running", m.running},
-                       {"waiting", m.waiting.size()},
-                       {"leaving", m.leaving}});
-        }
-        else if (in.path == "/counts") {
-            send_json(out, 200,
-                      {{"requests", m.requests},
-                       {"tokens", m.tokens},
-                       {"prefilled", m.prefilled}});
-        }
-        else {
-            on_generate(m, in, out);
-        }
-    });
+    serve(io, options.listen,
+          [&m](http_request const& in, responder_ptr const& out) {
+              if (in.path == "/fault") {
+                  set_faults(m, parse_body(in));
+                  send_json(out, 200, json::object());
+              }
+              else if (in.path == "/load") {
+                  send_json(out, 200,
+                            {{"running", m.running},
+                             {"waiting", m.waiting.size()},
+                             {"leaving", m.leaving}});
+              }
+              else if (in.path == "/counts") {
+                  send_json(out, 200,
+                            {{"requests", m.requests},
+                             {"tokens", m.tokens},
+                             {"prefilled", m.prefilled}});
+              }
+              else {
+                  on_generate(m, in, out);
+              }
+          });
 }
 
 } // namespace papayahook::fakes
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -82,20 +82,40 @@
                      double load)
 {
     double const hop =
-        e.zone == s.settings.zone ? 0.0 : duration(s.settings.hop_cost).count();
+        e.zone == s.settings.zone
+            ? 0.0
+            : static_cast<double>(duration(s.settings.hop_cost).count());
     int const prompt =
         r.asked.prompt_tokens + static_cast<int>(r.chunks.size());
     int const uncached = std::max(0, prompt - cached_tokens(known, r.asked));
-    double const prefill = e.kind == endpoint_kind::model_runner
-                               ? static_cast<double>(uncached) *
-                                     s.settings.prefill_per_token.count()
-                               : 0.0;
+    double const prefill =
+        e.kind == endpoint_kind::model_runner
+            ? static_cast<double>(uncached) *
+                  static_cast<double>(s.settings.prefill_per_token.count())
+            : 0.0;
     double const fill = load / std::max(1, e.slots);
     return hop + prefill + fill * fill * queue_cost_us;
 }
 
 } // namespace
 
+namespace {
+
+// Signs of incarnations that are not configured (any more) say nothing that
+// routing needs; the newest is kept, its record may still come.
+void forget_gone(node_state& s, endpoint_leaving const& newest)
+{
+    std::erase_if(s.known_leaving, [&](auto const& it) {
+        auto const known = s.config.endpoints.find(it.endpoint);
+        bool const configured =
+            known != s.config.endpoints.end() &&
+            known->second.value.incarnation == it.incarnation;
+        return !configured && it != newest;
+    });
+}
+
+} // namespace
+
 bool is_leaving(node_state const& s, endpoint const& e)
 {
 #if PAPAYAHOOK_MUTATION_KEEP_LEAVING
@@ -185,9 +205,10 @@
 
 bool learn_leaving(node_state& s, endpoint_leaving const& e, effects& out)
 {
-    if (s.known_leaving.size() >= max_leaving ||
-        !s.known_leaving.insert(e).second)
+    if (!s.known_leaving.insert(e).second)
         return false;
+    if (s.known_leaving.size() > max_leaving)
+        forget_gone(s, e);
     remember(s, e.endpoint, "endpoint.leaving", e.incarnation);
     note(out, events::endpoint_leaving, e.endpoint, "", e.incarnation);
     news item;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -150,7 +150,9 @@
         t.header_lines = curl_slist_append(t.header_lines, "Expect:");
     }
     for (auto const& [name, value] : t.call.headers) {
-        auto const line = name + ": " + value;
+        std::string line = name;
+        line += ": ";
+        line += value;
         t.header_lines = curl_slist_append(t.header_lines, line.c_str());
     }
     set(CURLOPT_HTTPHEADER, t.header_lines);
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -161,8 +161,8 @@
     std::unique_ptr<server> srv;
 };
 
-http_server::http_server(asio::io_context& io, http_server_options options,
-                         handler on_request)
+http_server::http_server(asio::io_context& io,
+                         http_server_options const& options, handler on_request)
     : impl_(std::make_unique<impl>())
 {
     auto listener = std::make_shared<close_listener>();
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -70,7 +70,7 @@
     using handler = std::function<void(http_request, responder_ptr)>;
 
     // Throws std::system_error when the address cannot be bound.
-    http_server(asio::io_context& io, http_server_options options,
+    http_server(asio::io_context& io, http_server_options const& options,
                 handler on_request);
     ~http_server();
     void stop();
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -170,7 +170,7 @@
     options.port = n.set.admin.port;
     options.on_close = nullptr;
     n.admin = std::make_unique<http_server>(
-        n.io, options, [&n](http_request in, responder_ptr out) {
+        n.io, options, [&n](http_request const& in, responder_ptr const& out) {
             on_admin_request(n, in, out);
         });
     link_handlers handlers;
--- a/src/runtime/peer_links.cpp
+++ b/src/runtime/peer_links.cpp
@@ -40,7 +40,7 @@
         it.init_asio(&io);
         it.set_open_handshake_timeout(open_timeout_ms);
         it.set_max_message_size(max_bytes);
-        it.set_tcp_post_init_handler([&it](connection_hdl hdl) {
+        it.set_tcp_post_init_handler([&it](connection_hdl const& hdl) {
             websocketpp::lib::error_code ec;
             auto const con = it.get_con_from_hdl(hdl, ec);
             asio::error_code ignored;
@@ -53,14 +53,15 @@
     template <class Connection>
     void attach(Connection const& con, link_id id)
     {
-        con->set_message_handler([this, id](connection_hdl, auto msg) {
-            received += msg->get_payload().size() + frame_overhead_bytes;
-            if (!stopped)
-                handlers.on_message(id, msg->get_payload());
-        });
+        con->set_message_handler(
+            [this, id](connection_hdl const&, auto const& msg) {
+                received += msg->get_payload().size() + frame_overhead_bytes;
+                if (!stopped)
+                    handlers.on_message(id, msg->get_payload());
+            });
         con->set_close_handler(
-            [this, id](connection_hdl) { closed(id, "closed"); });
-        con->set_fail_handler([this, id, con](connection_hdl) {
+            [this, id](connection_hdl const&) { closed(id, "closed"); });
+        con->set_fail_handler([this, id, con](connection_hdl const&) {
             closed(id, con->get_ec().message());
         });
     }
@@ -86,11 +87,11 @@
     it.incoming.set_reuse_addr(true);
     // Handlers are copied into a connection when it is made: the validate
     // handler is the first that sees it, so the link's own are set there.
-    it.incoming.set_validate_handler([&it](connection_hdl hdl) {
+    it.incoming.set_validate_handler([&it](connection_hdl const& hdl) {
         auto const con = it.incoming.get_con_from_hdl(hdl);
         auto const id = it.next_id++;
         it.attach(con, id);
-        con->set_open_handler([&it, id](connection_hdl open) {
+        con->set_open_handler([&it, id](connection_hdl const& open) {
             it.server_side[id] = open;
             if (!it.stopped)
                 it.handlers.on_open(id, false);
@@ -121,7 +122,7 @@
     if (ec)
         return id;
     it.attach(con, id);
-    con->set_open_handler([&it, id](connection_hdl open) {
+    con->set_open_handler([&it, id](connection_hdl const& open) {
         it.client_side[id] = open;
         if (!it.stopped)
             it.handlers.on_open(id, true);
--- a/test/members_test.cpp
+++ b/test/members_test.cpp
@@ -97,6 +97,18 @@
     CHECK(w.dispatches[0].what.endpoint == "r1");
 }
 
+TEST_CASE("after many reclaims a leaving endpoint is still believed")
+{
+    auto w = make_world(1);
+    constexpr int reclaims = 10'000;
+    for (int i = 0; i < reclaims; ++i)
+        give(w, 0,
+             core::instance_list{{{"gone" + std::to_string(i), "1", true}}});
+    give_sign(w, 0, 0);
+    CHECK(knows(w, 0));
+    CHECK(w.nodes[0].known_leaving.size() < reclaims);
+}
+
 TEST_CASE("a peer of another protocol version is refused")
 {
     auto w = make_world(1);
