Hold no request back on a guess about other nodes

Ruled out: the queue itself. Change: room is judged by own calls and reports only; the guess, at most the slots, only ranks. A full version is not looked for again in one pass of the queue.

--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -62,20 +62,30 @@
     return it == s.config.routes.end() ? std::string{} : it->second.value.pool;
 }
 
+// Versions and schemas of the pool that no endpoint has room for now: the
+// next request in the queue need not look again.
+using full_set = std::set<std::tuple<std::string, std::string>>;
+
 // Starts the request when an endpoint has room for it.
-bool try_start(node_state& s, request_state& r, effects& out)
+bool try_start(node_state& s, request_state& r, full_set& full, effects& out)
 {
     auto const& it = s.config.routes.at(r.asked.route).value;
     auto const version = pick_version(s, r, it);
+    std::tuple const wanted{version, r.asked.schema_version};
+    if (full.contains(wanted))
+        return false;
     auto const endpoint = choose_endpoint(s, r, version);
-    if (endpoint.empty())
+    if (endpoint.empty()) {
+        full.insert(wanted);
         return false;
+    }
     start_call(s, r, endpoint, version, out);
     return true;
 }
 
 void drain_queue(node_state& s, request_queue& queue, effects& out)
 {
+    full_set full;
     int skipped = 0;
     for (auto it = queue.begin(); it != queue.end();) {
         auto const [klass, tag, id] = *it;
@@ -86,7 +96,7 @@
             continue;
         }
         auto const next = std::next(it);
-        if (try_start(s, *r, out)) {
+        if (try_start(s, *r, full, out)) {
             s.fair_now = std::max(s.fair_now, tag);
             queue.erase(it);
         }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -38,18 +38,28 @@
     return {endpoints == 0 ? 0 : others * own / endpoints};
 }
 
-// Running and waiting at the endpoint: own calls, and those of others by its
-// last report, which counts for less the older it is.
-double expected_load(node_state const& s, endpoint_state const& e,
-                     pool_load const& pool)
+struct load_estimate
+{
+    double seen = 0;     // own calls and those of others by the last report
+    double expected = 0; // with what others may be sending besides
+};
+
+// A report counts for less the older it is. What it leaves open is filled
+// with a guess, which may rank endpoints but never holds a request back.
+load_estimate estimate_load(node_state const& s, endpoint const& e,
+                            endpoint_state const& known, pool_load const& pool)
 {
     double trust = 0;
-    if (e.reported_at != time_point{})
-        trust = std::max(
-            0.0, 1.0 - std::chrono::duration<double>(s.now - e.reported_at) /
-                           duration(s.settings.report_horizon));
-    double const reported = std::max(0, e.reported - e.own_at_report);
-    return e.in_flight + trust * reported + (1 - trust) * pool.others_mean;
+    if (known.reported_at != time_point{})
+        trust = std::max(0.0, 1.0 - std::chrono::duration<double>(
+                                        s.now - known.reported_at) /
+                                        duration(s.settings.report_horizon));
+    double const reported = std::max(0, known.reported - known.own_at_report);
+    double const guess = std::min<double>(pool.others_mean, e.slots);
+    load_estimate out;
+    out.seen = known.in_flight + trust * reported;
+    out.expected = out.seen + (1 - trust) * guess;
+    return out;
 }
 
 int cached_tokens(endpoint_state const& e, request_arrived const& asked)
@@ -145,15 +155,15 @@
         if (!serves(s, e, it.pool, version, r.asked.schema_version))
             continue;
         auto const& known = s.endpoints[name];
-        double const load = expected_load(s, known, pool);
-        bool const has_room = known.in_flight < e.slots && load < e.slots;
+        auto const load = estimate_load(s, e, known, pool);
+        bool const has_room = load.seen < e.slots;
         if (known.paused_until > s.now || !has_room)
             continue;
         bool const untried = std::ranges::find(r.tried, name) == r.tried.end();
         // Ties are broken by request, or all nodes would pick the same one.
         double const jitter =
             static_cast<double>(hash_of(name + r.asked.id) % 1000);
-        double const cost = expected_cost(s, r, e, known, load) + jitter;
+        double const cost = expected_cost(s, r, e, known, load.expected) + jitter;
         if (untried < best_untried)
             continue;
         if (untried > best_untried || cost < best_cost) {
--- a/test/members_test.cpp
+++ b/test/members_test.cpp
@@ -109,6 +109,24 @@
     CHECK(w.nodes[0].known_leaving.size() < reclaims);
 }
 
+TEST_CASE("what other nodes may be sending holds no request back")
+{
+    auto w = make_world(1);
+    for (int i = 2; i <= 330; ++i) {
+        auto& it = w.nodes[0].members["n" + std::to_string(i)];
+        it.node = "n" + std::to_string(i);
+        it.up = true;
+    }
+    for (int i = 0; i < 8; ++i)
+        ask_chat(w, 0);
+    CHECK(w.dispatches.size() == 8);
+    // A report is no guess: a full runner gets nothing.
+    give(w, 0, core::endpoint_report{"r1", "1", false, 100, 0});
+    ask_chat(w, 0);
+    REQUIRE(w.dispatches.size() == 9);
+    CHECK(w.dispatches.back().what.endpoint == "r2");
+}
+
 TEST_CASE("a peer of another protocol version is refused")
 {
     auto w = make_world(1);
