--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t max_prefixes = 8192; // per endpoint
 constexpr std::size_t max_leaving = 4096;
-constexpr double queue_cost_us = 40'000; // a full endpoint against an idle one
+constexpr double queue_cost_us = 100'000; // a full endpoint against an idle one
 
 // What is known of the load on a pool, for endpoints without a fresh report.
 struct pool_load
