--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -7,9 +7,9 @@
 //   [4] Messages between nodes
 //   [5] Events                  all that can happen to a node
 //   [6] Effects                 all that a node can ask its runtime to do
-//   [7] State                   all that a node knows
-//   [8] reduce()                event in, effects out
-//   [9] Settings of the core
+//   [7] Settings of the core
+//   [8] State                   all that a node knows
+//   [9] reduce()                event in, effects out
 //
 // Usage: keep one node_state, call reduce() for every event in the order in
 // which they happened, carry out the effects in order. Nothing in here reads
@@ -579,7 +579,7 @@
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
-// [9] Settings of the core (before [7], which holds them)
+// [7] Settings of the core
 // ---------------------------------------------------------------------------
 
 struct node_settings
@@ -615,7 +615,7 @@
 };
 
 // ---------------------------------------------------------------------------
-// [7] State
+// [8] State
 // ---------------------------------------------------------------------------
 
 struct record_verdict
@@ -827,7 +827,7 @@
 };
 
 // ---------------------------------------------------------------------------
-// [8] reduce()
+// [9] reduce()
 // ---------------------------------------------------------------------------
 
 // Applies one event and appends what has to be done about it to `out`.
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -11,14 +11,6 @@
 constexpr std::size_t max_entries = 2048;
 constexpr std::size_t max_name = 128;
 
-template <class... F>
-struct overloaded : F...
-{
-    using F::operator()...;
-};
-template <class... F>
-overloaded(F...) -> overloaded<F...>;
-
 using reason = std::string; // empty: accepted
 
 template <class T>
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -5,6 +5,15 @@
 
 namespace papayahook::core {
 
+// One visitor of a variant from several lambdas.
+template <class... F>
+struct overloaded : F...
+{
+    using F::operator()...;
+};
+template <class... F>
+overloaded(F...) -> overloaded<F...>;
+
 // admission.cpp: who may enter, who waits, who is next
 void on_request(node_state& s, request_arrived const& e, effects& out);
 void enqueue(node_state& s, request_state& r, effects& out);
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -9,14 +9,6 @@
 
 constexpr std::size_t small_fleet = 8; // up to here every pair is linked
 
-template <class... F>
-struct overloaded : F...
-{
-    using F::operator()...;
-};
-template <class... F>
-overloaded(F...) -> overloaded<F...>;
-
 void send(node_state& s, std::uint64_t link, peer_message message, effects& out)
 {
     s.counts.peer_messages++;
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -13,14 +13,6 @@
 
 constexpr std::size_t max_decisions = 512;
 
-template <class... F>
-struct overloaded : F...
-{
-    using F::operator()...;
-};
-template <class... F>
-overloaded(F...) -> overloaded<F...>;
-
 void on_append_done(node_state& s, append_done const& e, effects& out)
 {
     auto const it = s.appends.find(e.append);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -163,7 +163,8 @@
         // Ties are broken by request, or all nodes would pick the same one.
         double const jitter =
             static_cast<double>(hash_of(name + r.asked.id) % 1000);
-        double const cost = expected_cost(s, r, e, known, load.expected) + jitter;
+        double const cost =
+            expected_cost(s, r, e, known, load.expected) + jitter;
         if (untried < best_untried)
             continue;
         if (untried > best_untried || cost < best_cost) {
--- a/test/config_test.cpp
+++ b/test/config_test.cpp
@@ -60,14 +60,6 @@
     return out;
 }
 
-void link_all(world& w)
-{
-    for (std::size_t a = 0; a < nodes; ++a)
-        for (std::size_t b = 0; b < nodes; ++b)
-            if (a != b)
-                give(w, a, core::peer_opened{b + 1});
-}
-
 } // namespace
 
 TEST_CASE("nodes at one offset agree, and none steps back")
@@ -140,8 +132,7 @@
     give(w, 0, core::log_reachable{false});
     link_all(w);
     pass_time(w, 1s);
-    while (!w.messages.empty())
-        deliver_message(w, 0);
+    deliver_all_messages(w);
     CHECK(in_force(w.nodes[0]) == in_force(w.nodes[1]));
     CHECK(w.nodes[0].config.applied == w.nodes[1].config.applied);
 }
--- a/test/members_test.cpp
+++ b/test/members_test.cpp
@@ -17,12 +17,8 @@
 world linked_world()
 {
     auto w = make_world(nodes);
-    for (std::size_t a = 0; a < nodes; ++a)
-        for (std::size_t b = 0; b < nodes; ++b)
-            if (a != b)
-                give(w, a, core::peer_opened{b + 1});
-    while (!w.messages.empty())
-        deliver_message(w, 0);
+    link_all(w);
+    deliver_all_messages(w);
     return w;
 }
 
@@ -75,8 +71,7 @@
         bool any = false;
         for (std::size_t i = 0; i < nodes; ++i)
             any = any || knows(w, i);
-        while (!w.messages.empty())
-            deliver_message(w, 0);
+        deliver_all_messages(w);
         for (std::size_t i = 0; i < nodes; ++i)
             RC_ASSERT(knows(w, i) == any);
     }));
@@ -158,8 +153,7 @@
     for (int i = 0; i < 50; ++i) {
         pass_time(w, 100ms);
         std::erase_if(w.messages, [](auto const& it) { return it.node == 2; });
-        while (!w.messages.empty())
-            deliver_message(w, 0);
+        deliver_all_messages(w);
     }
     CHECK_FALSE(w.nodes[0].members.at("n3").up);
     CHECK(w.nodes[0].members.at("n2").up);
--- a/test/moves_test.cpp
+++ b/test/moves_test.cpp
@@ -23,10 +23,7 @@
 
 void start_move(move_world& m, std::string const& to = "v2")
 {
-    for (std::size_t a = 0; a < nodes; ++a)
-        for (std::size_t b = 0; b < nodes; ++b)
-            if (a != b)
-                give(m.w, a, core::peer_opened{b + 1});
+    link_all(m.w);
     core::version_move it;
     it.name = "m";
     it.route = "chat";
@@ -36,8 +33,7 @@
     publish(m.w, it);
     for (std::size_t i = 0; i < nodes; ++i)
         read_log(m.w, i);
-    while (!m.w.messages.empty())
-        deliver_message(m.w, 0);
+    deliver_all_messages(m.w);
 }
 
 // One request at a node, answered at once; the new version fails or is slow
@@ -65,8 +61,7 @@
 
 void exchange(move_world& m)
 {
-    while (!m.w.messages.empty())
-        deliver_message(m.w, 0);
+    deliver_all_messages(m.w);
     while (!m.w.appends.empty())
         take_append(m.w, 0, true);
     for (std::size_t i = 0; i < nodes; ++i)
@@ -165,8 +160,7 @@
          core::peer_received{
              2, core::news{
                     {}, {{"m", move_at(m, 0).started, "seen bad"}}, {}, {}}});
-    while (!m.w.messages.empty())
-        deliver_message(m.w, 0);
+    deliver_all_messages(m.w);
     auto const before = m.to_new;
     for (int i = 0; i < 600; ++i)
         serve(m, static_cast<std::size_t>(i) % nodes, false, false);
--- a/test/once_test.cpp
+++ b/test/once_test.cpp
@@ -210,12 +210,8 @@
 {
     constexpr std::size_t nodes = 6;
     auto w = make_world(nodes);
-    for (std::size_t a = 0; a < nodes; ++a)
-        for (std::size_t b = 0; b < nodes; ++b)
-            if (a != b)
-                give(w, a, core::peer_opened{b + 1});
-    while (!w.messages.empty())
-        deliver_message(w, 0);
+    link_all(w);
+    deliver_all_messages(w);
     int appends = 0;
     constexpr int orders = 1'000; // a second, one each millisecond
     for (int i = 0; i < orders; ++i) {
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -138,6 +138,20 @@
     give(w, node, core::log_reachable{true});
 }
 
+void link_all(world& w)
+{
+    for (std::size_t a = 0; a < w.nodes.size(); ++a)
+        for (std::size_t b = 0; b < w.nodes.size(); ++b)
+            if (a != b)
+                give(w, a, core::peer_opened{b + 1});
+}
+
+void deliver_all_messages(world& w)
+{
+    while (!w.messages.empty())
+        deliver_message(w, 0);
+}
+
 core::offset put(world& w, std::string const& stream,
                  std::variant<core::config_record, core::claim_record> record)
 {
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -67,6 +67,10 @@
 void pass_time(world& w, std::chrono::milliseconds by);
 void restart(world& w, std::size_t node);
 
+// Opens a link between every pair of nodes; hellos wait in `messages`.
+void link_all(world& w);
+void deliver_all_messages(world& w);
+
 // Puts records on a stream, as an operator or a node would.
 core::offset put(world& w, std::string const& stream,
                  std::variant<core::config_record, core::claim_record> record);
