--- a/bench/process_bench.cpp
+++ b/bench/process_bench.cpp
@@ -236,11 +236,8 @@
                 percentile(took, 0.5), percentile(took, 0.99));
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+int run(std::vector<std::string> const& args)
 {
-    std::vector<std::string> const args(argv + 1, argv + argc);
     int const n = args.size() > 1 ? std::stoi(args[1]) : 0;
     if (args.empty())
         return 2;
@@ -256,3 +253,17 @@
         return 2;
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    // Caught, so that the fleet is unwound and its processes are ended.
+    try {
+        return run({argv + 1, argv + argc});
+    }
+    catch (std::exception const& e) {
+        std::cerr << "process_bench: " << e.what() << '\n';
+        return 1;
+    }
+}
