Notice the end of a log outage at once

Cause: after an outage a node's first read waited for news up to 5 s, and until it returned the log counted as lost: orders were refused though the log was back. Ruled out: claims, appends and pacing (no claim was made; event 302 missing). Change: a read waits only while the log counts as reachable.

--- a/src/runtime/platform.cpp
+++ b/src/runtime/platform.cpp
@@ -88,9 +88,11 @@
 {
     bool const config = stream == "config";
     auto const applied = config ? n.state.config.applied : n.state.once.applied;
-    // The first read must not wait: a new node needs to know where the end
-    // is before it may take claims.
-    bool const wait = config ? applied != 0 : n.state.once.caught_up;
+    // A read waits for news only where all is well. The first one must not:
+    // a new node takes no claims before it knows the end. Nor may the first
+    // after an outage: the log would look lost until something is written.
+    bool const at_end = config ? applied != 0 : n.state.once.caught_up;
+    bool const wait = at_end && n.state.log_reachable;
     http_call call;
     call.url = "http://" + n.set.log_address + "/streams/" + stream +
                "/read?from=" + std::to_string(applied + 1) +
