Say once what stood twice: live members, open move, caller key

Cause: read the whole change: counting live members stood three times, the search for a route's open move twice, the bearer key's digest twice, making a test request twice; a bench passed a log that nobody read. Ruled out: twins that only look alike (fault setters, reducers' cases). Change: live_members, open_move_of, caller_key_digest, next_request. Conclusion: behaviour is unchanged.

--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -101,8 +101,7 @@
 }
 
 // Appends of the node stand on the log at once.
-void file(core::node_state& s, std::vector<core::log_entry>& log,
-          core::effects& out)
+void file(core::node_state& s, core::effects& out)
 {
     core::effects const taken = std::move(out);
     out.clear();
@@ -150,7 +149,6 @@
     read.end = s.config.applied + 1;
     core::reduce(s, {start, read}, out);
     out.clear();
-    std::vector<core::log_entry> log;
     result r;
     auto const& move = s.config.moves.at("m");
     std::uint64_t number = 0;
@@ -191,7 +189,7 @@
             out.clear();
         }
         core::reduce(s, {now, core::tick{}}, out);
-        file(s, log, out);
+        file(s, out);
         core::effects sweep;
         if (number % 5'000 < 5)
             std::erase_if(s.requests, [](auto const& it) {
--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -19,6 +19,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -857,6 +858,9 @@
                                        std::vector<std::string> const& names,
                                        int degree);
 
+// Members that are up by what this node knows, itself included.
+std::ptrdiff_t live_members(node_state const& state);
+
 // Tokens of a prompt that one entry of prefix_blocks stands for.
 inline constexpr int prefix_block_tokens = 16;
 
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -32,14 +32,6 @@
             c.organisation_by_key[digest] = name;
 }
 
-move_state* open_move_of(configuration& c, std::string const& route)
-{
-    auto const it = std::ranges::find_if(c.moves, [&](auto const& m) {
-        return m.second.spec.route == route && !m.second.end;
-    });
-    return it == c.moves.end() ? nullptr : &it->second;
-}
-
 reason apply_route(configuration& c, route const& it, config_record const& rec,
                    offset at)
 {
@@ -210,6 +202,14 @@
 
 } // namespace
 
+move_state* open_move_of(configuration& c, std::string const& route)
+{
+    auto const it = std::ranges::find_if(c.moves, [&](auto const& m) {
+        return m.second.spec.route == route && !m.second.end;
+    });
+    return it == c.moves.end() ? nullptr : &it->second;
+}
+
 std::string record_name(config_body const& body)
 {
     return std::visit(
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -58,6 +58,7 @@
 void on_claims_read(node_state& s, log_read const& e, effects& out);
 
 // config.cpp
+move_state* open_move_of(configuration& c, std::string const& route);
 void on_config_read(node_state& s, log_read const& e, effects& out);
 void apply_entries(node_state& s, std::vector<log_entry> const& entries,
                    effects& out);
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -200,6 +200,12 @@
     return out;
 }
 
+std::ptrdiff_t live_members(node_state const& s)
+{
+    return std::ranges::count_if(s.members,
+                                 [](auto const& it) { return it.second.up; });
+}
+
 int duty_rank(node_state const& s, std::string const& duty)
 {
     auto const own = hash_of(duty + "/" + s.settings.name);
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -179,14 +179,6 @@
     ask_step(s, m, std::move(step), out);
 }
 
-move_state* open_move(node_state& s, std::string const& route)
-{
-    auto const it = std::ranges::find_if(s.config.moves, [&](auto const& m) {
-        return m.second.spec.route == route && !m.second.end;
-    });
-    return it == s.config.moves.end() ? nullptr : &it->second;
-}
-
 move_state* move_of(node_state& s, request_state const& r)
 {
     auto const it = s.config.moves.find(r.move);
@@ -209,7 +201,7 @@
 {
     if (!r.version.empty())
         return r.version;
-    auto* const m = open_move(s, it.name);
+    auto* const m = open_move_of(s.config, it.name);
     if (m == nullptr)
         return it.version;
     auto const& schema = r.asked.schema_version;
--- a/src/core/once.cpp
+++ b/src/core/once.cpp
@@ -103,8 +103,7 @@
 // ride with the next claims, or go alone after a while.
 time_point next_flush(node_state const& s)
 {
-    auto const live = std::ranges::count_if(
-        s.members, [](auto const& it) { return it.second.up; });
+    auto const live = live_members(s);
     auto const spacing = duration(std::chrono::seconds(1)) *
                          std::max<std::ptrdiff_t>(1, live) /
                          s.settings.append_budget;
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -31,8 +31,7 @@
         own += known == s.endpoints.end() ? 0 : known->second.in_flight;
         endpoints++;
     }
-    auto const live = std::ranges::count_if(
-        s.members, [](auto const& it) { return it.second.up; });
+    auto const live = live_members(s);
     auto const others =
         static_cast<double>(std::max<std::ptrdiff_t>(0, live - 1));
     return {endpoints == 0 ? 0 : others * own / endpoints};
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -18,14 +18,6 @@
 constexpr std::size_t max_key = 255;
 constexpr std::int64_t max_deadline_ms = 48LL * 3600 * 1000;
 
-std::string bearer_key(header_list const& headers)
-{
-    constexpr std::string_view scheme = "Bearer ";
-    auto const value = header_value(headers, "Authorization");
-    return value.starts_with(scheme) ? std::string(value.substr(scheme.size()))
-                                     : std::string{};
-}
-
 std::optional<std::int64_t> parse_integer(std::string_view text)
 {
     std::int64_t out = 0;
@@ -48,7 +40,7 @@
 // Headers that any request may carry; the complaint, or empty.
 std::string read_headers(http_request const& in, core::request_arrived& out)
 {
-    out.key_digest = codec::sha256(bearer_key(in.headers));
+    out.key_digest = caller_key_digest(in.headers);
     out.idempotency_key = header_value(in.headers, "Idempotency-Key");
     if (out.idempotency_key.size() > max_key)
         return "Idempotency-Key: at most 255 characters are expected";
@@ -163,6 +155,15 @@
     return out;
 }
 
+std::string caller_key_digest(header_list const& headers)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    auto const value = header_value(headers, "Authorization");
+    bool const bearer = value.starts_with(scheme);
+    return codec::sha256(bearer ? std::string(value.substr(scheme.size()))
+                                : std::string{});
+}
+
 bool wants_id_only(http_request const& in)
 {
     return header_value(in.headers, "Prefer").find("respond-async") !=
--- a/src/runtime/caller_api.hpp
+++ b/src/runtime/caller_api.hpp
@@ -35,6 +35,9 @@
 std::variant<parsed_request, bad_request>
 parse_request(http_request const& in, core::request_id const& id);
 
+// Digest of the caller's bearer key; that of an empty key when none was sent.
+std::string caller_key_digest(header_list const& headers);
+
 // The caller asks for 202 and the request's id instead of the answer
 // ("Prefer: respond-async", RFC 7240); it fetches the answer later.
 bool wants_id_only(http_request const& in);
--- a/src/runtime/callers.cpp
+++ b/src/runtime/callers.cpp
@@ -1,8 +1,6 @@
 // Callers' connections: requests in, answers out, re-attaching.
 #include "runtime/node.hpp"
 
-#include "codec/json.hpp"
-
 #include <algorithm>
 #include <asio/post.hpp>
 
@@ -205,12 +203,7 @@
             forward_reattach(n, target, id, in, out);
         return;
     }
-    auto const bearer = header_value(in.headers, "Authorization");
-    constexpr std::string_view scheme = "Bearer ";
-    auto const key = bearer.starts_with(scheme)
-                         ? std::string(bearer.substr(scheme.size()))
-                         : std::string{};
-    if (codec::sha256(key) != it->second.key_digest) {
+    if (caller_key_digest(in.headers) != it->second.key_digest) {
         send_problem(out, id, unknown_answer("no such request here"));
         return;
     }
--- a/src/runtime/platform.cpp
+++ b/src/runtime/platform.cpp
@@ -68,8 +68,7 @@
 std::chrono::milliseconds list_period(node const& n)
 {
     constexpr std::ptrdiff_t readers = 6;
-    auto const live = std::ranges::count_if(
-        n.state.members, [](auto const& it) { return it.second.up; });
+    auto const live = core::live_members(n.state);
     return n.set.list_period * std::max(readers, live) / readers;
 }
 
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -231,15 +231,26 @@
     }
 }
 
-core::request_id ask_order(world& w, std::size_t node, std::string const& key,
-                           std::string const& body_digest)
+namespace {
+
+core::request_arrived next_request(world const& w, std::size_t node,
+                                   std::string const& route)
 {
     auto const& s = w.nodes[node].settings;
     core::request_arrived it;
     it.id = s.name + "." + std::to_string(s.incarnation) + "." +
             std::to_string(w.keys.size() + 1);
     it.key_digest = "key";
-    it.route = "orders";
+    it.route = route;
+    return it;
+}
+
+} // namespace
+
+core::request_id ask_order(world& w, std::size_t node, std::string const& key,
+                           std::string const& body_digest)
+{
+    auto it = next_request(w, node, "orders");
     it.idempotency_key = key;
     it.body_digest = body_digest;
     w.keys[it.id] = key;
@@ -249,12 +260,7 @@
 
 core::request_id ask_chat(world& w, std::size_t node, std::string const& schema)
 {
-    auto const& s = w.nodes[node].settings;
-    core::request_arrived it;
-    it.id = s.name + "." + std::to_string(s.incarnation) + "." +
-            std::to_string(w.keys.size() + 1);
-    it.key_digest = "key";
-    it.route = "chat";
+    auto it = next_request(w, node, "chat");
     it.model = true;
     it.schema_version = schema;
     it.prompt_tokens = 10;
