Send an order on a new connection, so that no library repeats it

The node's load polls leave such connections to the same order desk, so whether the order met one depended on time: the test was flaky, the fault was real and broke 'at most once' below the core, which saw one dispatch.

Ruled out: the claims (one claim, one dispatch in the node's dump of the failing case), the last refactoring (the option was the same before), a double send by the test's client (its key would have been followed).

Change: a dispatch that is not repeatable asks for a new connection. New test warms a connection first, so that the fault shows every time.

Conclusion: a hidden retry remains for repeatable requests, where it is harmless but not counted.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -490,7 +490,7 @@
     endpoint_kind kind = endpoint_kind::plain_service;
     std::string version;
     std::vector<std::string> resume_chunks; // tokens that the caller has
-    bool fresh_connection = false;
+    bool fresh_connection = false; // true: must not go out on a reused one
     std::chrono::milliseconds timeout{};
 };
 
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -177,7 +177,9 @@
     it.version = version;
     if (e.kind == endpoint_kind::model_runner)
         it.resume_chunks = r.chunks;
-    it.fresh_connection = !r.tried.empty();
+    // HTTP libraries send a request again by themselves when an idle
+    // connection dies under it; on a new one they do not.
+    it.fresh_connection = !r.repeatable || !r.tried.empty();
     it.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
         r.deadline - s.now);
     out.push_back(std::move(it));
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -23,7 +23,9 @@
     std::string body;
     std::chrono::milliseconds connect_timeout{1'000};
     std::chrono::milliseconds total_timeout{0}; // zero: none
-    bool fresh_connection = false; // do not reuse an idle connection
+    // Do not reuse an idle connection. Pitfall: on a reused one that dies
+    // without an answer libcurl sends the request again by itself, POST too.
+    bool fresh_connection = false;
     std::function<void(int status, header_list const&)> on_head;
     std::function<void(std::string_view)> on_data;
     std::function<void(http_result const&)> on_done; // exactly once
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -155,6 +155,20 @@
     CHECK(times_run(f, "kit") == 1);
 }
 
+// libcurl sends a request again by itself when an idle connection that it
+// took up again dies without an answer.
+TEST_CASE("an order is not sent again when a used connection dies under it")
+{
+    auto f = start_fleet({});
+    for (int i = 0; i < 5; ++i) {
+        auto const name = std::to_string(i);
+        CHECK(run_call(tap(f, 0, "warm-" + name)).status == 200);
+        post(f.endpoint("d1").address, "/fault", R"({"lose_answers": 1})");
+        CHECK(run_call(tap(f, 0, "kit-" + name)).outcome == "outcome_unknown");
+        CHECK(times_run(f, "kit-" + name) == 1);
+    }
+}
+
 TEST_CASE("an order that the desk did not run can be sent again")
 {
     auto f = start_fleet({.nodes = 2});
