Remove a step in count_answer that did nothing of what it said

Cause: on strong harm it reset step_due_since, which delays the append of the step rather than hastening it; the veto is given at the next tick (100 ms) in any case. Ruled out: a veto in count_answer itself: judge() on every failed answer of the hot path gains less than one tick. Change: the branch is gone.

--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -263,9 +263,6 @@
     counts.answers++;
     counts.failed += bad ? 1 : 0;
     counts.slow += r.slow ? 1 : 0;
-    // Strong harm must not wait for the next tick.
-    if (bad && r.counts_new && judge(*m) == verdict::bad)
-        m->step_due_since = {};
 }
 
 void evaluate_moves(node_state& s, effects& out)
