Prove a zone's reclaim and two versions of the order desk; mend a full stop

Ruled out: a smaller part kept (no size of it lets one call through). Change: a node that has no call open always has room. Tests: a zone at once (two of six nodes, two of six runners, 2 s of notice, answers of 5 s), orders under an open move of the desk, the smallest limit. Conclusion: notices of 5, 10 and 30 s are not run as such.

--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -89,8 +89,9 @@
             std::max(least, decrease * std::min<double>(now, it.in_flight));
         it.late = late_share / 2; // the same evidence counts once
     }
-    else if (it.reached && it.limit != 0)
+    else if (it.reached && it.limit != 0) {
         it.limit += std::max(1.0, increase * it.limit);
+    }
     if (it.limit >= slots)
         it.limit = 0;
 }
@@ -109,10 +110,10 @@
         open += n;
     }
     auto const it = s.config.organisations.find(organisation);
-    if (it == s.config.organisations.end())
+    auto const own = s.in_flight.find(organisation);
+    if (it == s.config.organisations.end() || own == s.in_flight.end())
         return false;
-    return s.in_flight.at(organisation) * weights <=
-           it->second.value.weight * open;
+    return own->second * weights <= it->second.value.weight * open;
 }
 
 bool has_room(node_state& s, std::string const& pool,
@@ -120,7 +121,8 @@
 {
     auto& it = s.limits[{pool, version}];
     double const kept = in_share ? 0 : std::max(1.0, reserve * it.limit);
-    bool const room = it.limit == 0 || it.in_flight + kept < it.limit;
+    bool const room =
+        it.limit == 0 || it.in_flight == 0 || it.in_flight + kept < it.limit;
     it.reached = it.reached || !room;
     return room;
 }
--- a/test/limits_test.cpp
+++ b/test/limits_test.cpp
@@ -183,6 +183,30 @@
     CHECK(w.ends.size() == 1);
 }
 
+TEST_CASE("the smallest limit still lets every organisation go on")
+{
+    auto w = two_organisations();
+    limit(w).limit = 1;
+    ask(w, 0, 1, "b");
+    ask(w, 10, 3, "a"); // above its share
+    REQUIRE(w.dispatches.size() == 1);
+    give(w, 0, core::caller_gone{w.dispatches[0].what.id});
+    CHECK(w.dispatches.size() == 2);
+    give(w, 0, core::caller_gone{w.dispatches[1].what.id});
+    CHECK(w.dispatches.size() == 3);
+}
+
+TEST_CASE("what one organisation has open elsewhere blocks no free slot")
+{
+    auto w = two_organisations();
+    limit(w).limit = 1;
+    w.nodes[0].in_flight["b"] = 1; // in another pool
+    ask(w, 0, 4, "a");
+    REQUIRE(w.dispatches.size() == 1);
+    give(w, 0, core::caller_gone{w.dispatches[0].what.id});
+    CHECK(w.dispatches.size() == 2); // "a" has more than its share
+}
+
 TEST_CASE("a node counts its calls right, whatever becomes of them")
 {
     REQUIRE(rc::check("calls", [](std::vector<choice> const& choices) {
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -260,6 +260,35 @@
         CHECK(times_run(f, "kit-" + std::to_string(i)) == 1);
 }
 
+TEST_CASE("orders run once while two versions of the desk stand side by side")
+{
+    auto f = start_fleet({.nodes = 2, .desks = 2, .new_desks = 2});
+    publish_text(f, "[[move]]\nname = \"desk-v2\"\nroute = \"orders\"\n"
+                    "to = \"v2\"\ndeadline_in_s = 60\n"
+                    "min_samples = 1000\n");
+    REQUIRE(eventually(config_limit, [&] {
+        return state(f, 0).at("config").contains("moves") &&
+               state(f, 1).at("config").contains("moves");
+    }));
+    std::vector<call_plan> plans;
+    for (int i = 0; i < 300; ++i)
+        for (std::size_t node = 0; node < 2; ++node) {
+            plans.push_back(tap(f, node, "kit-" + std::to_string(i)));
+            plans.back().start = i * 10ms;
+        }
+    auto const got = run_calls(plans);
+    for (std::size_t i = 0; i < got.size(); i += 2) {
+        CHECK(got[i].status == 200);
+        CHECK(got[i].body == got[i + 1].body);
+        CHECK(times_run(f, "kit-" + std::to_string(i / 2)) == 1);
+    }
+    // Both versions had orders.
+    CHECK(get(f.endpoint("d1").address, "/counts") != "{}");
+    CHECK(get(f.endpoint("e1").address, "/counts") +
+              get(f.endpoint("e2").address, "/counts") !=
+          "{}{}");
+}
+
 TEST_CASE("a node that is killed or frozen with an order in hand")
 {
     auto f = start_fleet({.nodes = 2, .work_ms = 1'000});
@@ -395,6 +424,29 @@
     }
 }
 
+TEST_CASE("accepted requests survive the reclaim of a whole zone")
+{
+    constexpr int tokens = 500; // 5 s, longer than the notice
+    constexpr auto notice = 2s;
+    auto f = start_fleet({.nodes = 6, .runners = 6, .slots = 32});
+    auto const jobs = accept_jobs(f, 0, 10, tokens);
+    std::vector<call_plan> plans;
+    for (std::size_t i = 0; i < 36; ++i)
+        plans.push_back(chat(f, i, tokens));
+    // n1 and n4 share a zone; a third of the runners goes with it.
+    auto const got = run_beside(plans, 500ms, [&] {
+        for (auto const* name : {"r1", "r2"})
+            post(f.endpoint(name).address, "/fault", R"({"leaving": true})");
+        std::thread other([&] { reclaim(f, 3, notice); });
+        reclaim(f, 0, notice);
+        for (auto const* name : {"r1", "r2"})
+            f.endpoints.at(name)->signal(SIGKILL);
+        other.join();
+    });
+    check_whole_with_rest(f, 1, tokens, got);
+    check_jobs(f, 2, tokens, jobs);
+}
+
 TEST_CASE("a stream given up when its caller left is never shown as whole")
 {
     auto f = start_fleet({.nodes = 1});
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -228,6 +228,8 @@
         add("s" + std::to_string(i), kind::model_runner, "lm", "v2");
     for (int i = 1; i <= o.desks; ++i)
         add("d" + std::to_string(i), kind::plain_service, "desk", "v1");
+    for (int i = 1; i <= o.new_desks; ++i)
+        add("e" + std::to_string(i), kind::plain_service, "desk", "v2");
     std::string config =
         "[[organisation]]\nname = \"acme\"\nkey_digests = [\"" +
         codec::sha256(test_key) + "\"]\n";
--- a/test/support/fleet.hpp
+++ b/test/support/fleet.hpp
@@ -40,6 +40,7 @@
     int runners = 2;     // of version "v1" in pool "lm"
     int new_runners = 0; // of version "v2"
     int desks = 1;       // order desks, version "v1" in pool "desk"
+    int new_desks = 0;   // of version "v2"
     int slots = 16;
     int token_gap_us = 10'000;
     int work_ms = 5;      // of one order
