Part callers.cpp: re-attaching and relays have a file of their own

Change: src/runtime/reattach.cpp; flush and detach are named for what they act on. No behaviour changes.

--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -82,16 +82,29 @@
 // callers.cpp
 void on_caller_request(node& n, http_request in, responder_ptr out);
 void on_caller_closed(node& n, std::uint64_t connection_id);
+void forget_old_requests(node& n);
 void perform(node& n, core::refuse const& it);
 void perform(node& n, core::send_head const& it);
 void perform(node& n, core::send_chunk const& it);
 void perform(node& n, core::finish_answer const& it);
 void perform(node& n, core::fail_answer const& it);
+// What is written of an answer as it came, without events around it.
+bool is_raw(open_request const& r);
+void send_problem(responder_ptr const& out, core::request_id const& id,
+                  core::refusal const& why);
+// Puts the pending chunks on the wire; begins the stream with the first.
+void flush_pending(node& n, core::request_id const& id, open_request& r);
+// The request has no caller here any more.
+void detach_caller(open_request& r);
+
+// reattach.cpp
+inline constexpr std::string_view requests_prefix = "/v1/requests/";
+void on_reattach_request(node& n, http_request const& in,
+                         responder_ptr const& out);
 void perform(node& n, core::relay const& it);
 // What the caller of a request sent, for the peer that takes it over.
 core::caller_message message_of(node const& n, core::request_id const& id);
 void take_message(node& n, core::hand_over const& it);
-void forget_old_requests(node& n);
 
 // endpoints.cpp
 void perform(node& n, core::dispatch const& it);
