--- a/test/handover_test.cpp
+++ b/test/handover_test.cpp
@@ -30,19 +30,6 @@
     std::vector<core::request_id> asked;
 };
 
-std::string token(core::request_id const& id, std::uint64_t index)
-{
-    return id + "#" + std::to_string(index) + " ";
-}
-
-std::string whole_text(core::request_id const& id)
-{
-    std::string out;
-    for (std::uint64_t i = 0; i < tokens; ++i)
-        out += token(id, i);
-    return out;
-}
-
 session start_session()
 {
     session s{make_world(nodes), {}, {}};
@@ -188,13 +175,14 @@
         for (auto const& id : s.asked) {
             auto const end = s.w.ends.find(id);
             bool const refused = end != s.w.ends.end() && !end->second.whole;
-            bool const whole_at_once = s.w.end_count[id] == 1 && !refused &&
-                                       end->second.body == whole_text(id);
+            bool const whole_at_once =
+                s.w.end_count[id] == 1 && !refused &&
+                end->second.body == whole_text(id, tokens);
             if (refused) // at the door of a node that was leaving already
                 RC_ASSERT(end->second.outcome == core::outcome::not_run);
             if (refused || whole_at_once || gone.contains(id))
                 continue;
-            RC_ASSERT(fetched(s, id) == whole_text(id));
+            RC_ASSERT(fetched(s, id) == whole_text(id, tokens));
         }
     }));
 }
@@ -213,7 +201,7 @@
     pass_time(s.w, 50ms); // ended answers do not wait for hand_over_after
     deliver_all_messages(s.w);
     CHECK(s.w.nodes[0].requests.at(id).taken_by == "n3");
-    CHECK(fetched(s, id) == whole_text(id));
+    CHECK(fetched(s, id) == whole_text(id, tokens));
 }
 
 TEST_CASE("successors lead to the holder, the newest first, across nodes")
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -29,19 +29,6 @@
     std::map<core::request_id, std::string> version_of;
 };
 
-std::string token(core::request_id const& id, std::uint64_t index)
-{
-    return id + "#" + std::to_string(index) + " ";
-}
-
-std::string whole_text(core::request_id const& id)
-{
-    std::string out;
-    for (std::uint64_t i = 0; i < tokens; ++i)
-        out += token(id, i);
-    return out;
-}
-
 void start_generations(session& s)
 {
     for (auto const& it : s.w.dispatches) {
@@ -144,7 +131,7 @@
         finish(s);
         for (auto const& [id, key] : s.w.keys) {
             RC_ASSERT(s.w.end_count[id] == 1);
-            auto const whole = whole_text(id);
+            auto const whole = whole_text(id, tokens);
             auto const& body = s.w.bodies[id];
             RC_ASSERT(whole.starts_with(body));
             if (s.w.ends[id].whole)
@@ -172,7 +159,7 @@
     CHECK(again.version == "v1");
     CHECK(s.w.nodes[0].counts.tokens_recomputed == 13);
     finish(s);
-    CHECK(s.w.bodies[id] == whole_text(id));
+    CHECK(s.w.bodies[id] == whole_text(id, tokens));
 }
 
 TEST_CASE("a quiet call is given up and tried on a new connection")
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -269,6 +269,19 @@
     return it.id;
 }
 
+std::string token(core::request_id const& id, std::uint64_t index)
+{
+    return id + "#" + std::to_string(index) + " ";
+}
+
+std::string whole_text(core::request_id const& id, std::uint64_t tokens)
+{
+    std::string out;
+    for (std::uint64_t i = 0; i < tokens; ++i)
+        out += token(id, i);
+    return out;
+}
+
 void take_append(world& w, std::size_t i, bool answered)
 {
     if (w.appends.empty())
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -88,6 +88,10 @@
 core::request_id ask_chat(world& w, std::size_t node,
                           std::string const& schema = "");
 
+// What a runner generates for a request: each token names it and its index.
+std::string token(core::request_id const& id, std::uint64_t index);
+std::string whole_text(core::request_id const& id, std::uint64_t tokens);
+
 // Carries out a pending effect; does nothing where there is none.
 void take_append(world& w, std::size_t i, bool answered);
 void fail_append(world& w, std::size_t i);
