--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -214,11 +214,15 @@
                 if (limit && r->arrived + *limit <= s.now)
                     late.push_back(id);
             }
-    for (auto const& id : late)
-        refuse_request(s, s.requests.at(id),
-                       {503, outcome::not_run, step::queue, "",
-                        "no endpoint had room in time", retry_soon},
-                       out);
+    for (auto const& id : late) {
+        auto& r = s.requests.at(id);
+        // A refusal before this one may have made room for it.
+        if (r.phase == request_phase::queued)
+            refuse_request(s, r,
+                           {503, outcome::not_run, step::queue, "",
+                            "no endpoint had room in time", retry_soon},
+                           out);
+    }
 }
 
 void expire_requests(node_state& s, effects& out)
