Use one piece where the change had written two

Cause: read over once more. Collecting requests in a fixed order stood in three places, sending to a peer and counting it in two, ending a request that was handed over in two; a re-attach and a relay built the same call to a peer; routing_bench had an event queue of its own beside bench/schedule.hpp; the two phased scenarios of limits_bench were one with other words. Shedding worked out the share of an organisation, and whether its queue stands, anew for each waiting request at each tick. Ruled out: one function for stop_call() and end_request(); the first keeps the request and tells the runtime, the second counts it as gone. Change: requests_where(), send_to_peer(), settle_request(), ask_peer(), find_attached(), around(); shedding asks once per pool and organisation. A counter of limits_bench that nothing read is gone. Conclusion: no behaviour changes. Seen and left, since mending it would change behaviour: expire_requests() has what shed_waiting() had, a refusal that starts a later one of its list, which is then cut off.

--- a/bench/limits_bench.cpp
+++ b/bench/limits_bench.cpp
@@ -73,8 +73,7 @@
     long asked = 0;
     long in_time = 0; // first token within the target, of the try that got it
     long at_once = 0; // the same, counted from the first try
-    long answered = 0;
-    long tried = 0; // requests that nodes saw
+    long tried = 0;   // requests that nodes saw
     long refused = 0;
 };
 
@@ -159,7 +158,6 @@
         return;
     auto const a = found->second;
     close_call(s, a.node, call);
-    s.count(a).answered++;
     s.asks.erase(found);
     give(s, a.node, core::answer_end{call, 1});
 }
@@ -384,7 +382,7 @@
 {
     auto const it = sum(all, in);
     auto const seconds = static_cast<double>(all.size()) * (in.to - in.from);
-    std::printf("%-26s %7.1f %7.1f %8.1f %9.1f%% %8.1f%%\n", what,
+    std::printf("%-30s %7.1f %7.1f %8.1f %9.1f%% %8.1f%%\n", what,
                 static_cast<double>(it.asked) / seconds,
                 static_cast<double>(it.tried) / seconds,
                 static_cast<double>(it.in_time) / seconds, kept_in_time(it),
@@ -426,25 +424,33 @@
                  percent(checks.at_once, checks.asked));
 }
 
+// Something happens from 20 to 40 s. Returns what was seen 30 s later.
+tally around(std::string const& name, char const* within,
+             std::vector<phase> const& phases)
+{
+    auto const all = run_all(phases);
+    auto const line = [&](char const* when, range const& in) {
+        return report((name + ": " + when).c_str(), all, in);
+    };
+    line("before", {10, 20});
+    line(within, {25, 40});
+    line("0 to 10 s after", {40, 50});
+    return line("30 to 40 s after", {70, 80});
+}
+
 void surge(measures& out)
 {
-    auto const all =
-        run_all({{20, even(0.6), 0}, {40, even(3), 0}, {90, even(0.6), 0}});
-    report("surge: before", all, {10, 20});
-    report("surge: in it", all, {25, 40});
-    report("surge: 0 to 10 s after", all, {40, 50});
-    auto const late = report("surge: 30 to 40 s after", all, {70, 80});
+    auto const late =
+        around("surge", "in it",
+               {{20, even(0.6), 0}, {40, even(3), 0}, {90, even(0.6), 0}});
     out["after_surge_at_once_percent"] = percent(late.at_once, late.asked);
 }
 
 void runners_lost(measures& out)
 {
-    auto const all =
-        run_all({{20, even(0.8), 0}, {40, even(0.8), 3}, {90, even(0.8), 0}});
-    report("runners lost: before", all, {10, 20});
-    report("runners lost: 6 of 9 left", all, {25, 40});
-    report("runners lost: 0 to 10 s", all, {40, 50});
-    auto const late = report("runners lost: 30 to 40 s", all, {70, 80});
+    auto const late =
+        around("runners lost", "6 of 9 left",
+               {{20, even(0.8), 0}, {40, even(0.8), 3}, {90, even(0.8), 0}});
     out["after_loss_at_once_percent"] = percent(late.at_once, late.asked);
 }
 
@@ -491,7 +497,7 @@
                 "callers, tried at nodes, first token in time; shares in time: "
                 "of tries not refused, of callers from their first try\n",
                 capacity);
-    std::printf("%-26s %7s %7s %8s %10s %9s\n", "", "asked", "tried", "in time",
+    std::printf("%-30s %7s %7s %8s %10s %9s\n", "", "asked", "tried", "in time",
                 "of kept", "at once");
     measures found;
     steady(found);
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -2,13 +2,13 @@
 // slots, serial prefill, decode gap by batch, prefix cache with LRU.
 // routing_bench prints one table, all from one run with one seed.
 #include "fixture.hpp"
+#include "schedule.hpp"
 
 #include <algorithm>
 #include <cstdio>
 #include <functional>
 #include <list>
 #include <memory>
-#include <queue>
 #include <random>
 #include <thread>
 #include <unordered_map>
@@ -26,7 +26,6 @@
 constexpr double requests_per_second = 60;
 constexpr double seconds = 60;
 constexpr double warm_up = 10; // not counted
-constexpr core::time_point start{std::chrono::hours(1)};
 
 enum class policy
 {
@@ -100,34 +99,13 @@
     std::vector<std::vector<int>> own; // in flight by router and runner
     std::vector<std::size_t> turn;
     std::mt19937_64 random{7};
-    std::priority_queue<
-        std::pair<double, std::pair<int, std::function<void()>>>,
-        std::vector<std::pair<double, std::pair<int, std::function<void()>>>>,
-        std::function<bool(
-            std::pair<double, std::pair<int, std::function<void()>>> const&,
-            std::pair<double, std::pair<int, std::function<void()>>> const&)>>
-        events{[](auto const& a, auto const& b) {
-            return std::pair(a.first, a.second.first) >
-                   std::pair(b.first, b.second.first);
-        }};
-    int sequence = 0;
-    double now = 0;
+    schedule clock;
     std::unordered_set<std::uint64_t> ever;
     std::unordered_map<std::string, job_ptr> asked;
     long counted = 0;
     long first_ok = 0;
     long gap_ok = 0;
     double recomputed = 0;
-
-    void at(double when, std::function<void()> act)
-    {
-        events.push({when, {sequence++, std::move(act)}});
-    }
-    core::time_point time() const
-    {
-        return start + std::chrono::duration_cast<core::duration>(
-                           std::chrono::duration<double>(now));
-    }
 };
 
 void give(simulation& s, int router, decltype(core::event::what) what);
@@ -157,7 +135,7 @@
     for (auto const b : j->asked.prefix_blocks)
         fresh += s.ever.insert(b).second ? core::prefix_block_tokens : 0;
     r.touch(j->asked);
-    double const begin = std::max(s.now, r.prefill_free);
+    double const begin = std::max(s.clock.now, r.prefill_free);
     r.prefill_free = begin + uncached * prefill_ms / 1e3;
     j->gap_ms = 20 + 2.5 * r.running;
     double const first = r.prefill_free + j->gap_ms / 1e3;
@@ -167,11 +145,12 @@
         s.gap_ok += j->gap_ms <= 71 ? 1 : 0;
         s.recomputed += std::max(0, uncached - fresh);
     }
-    s.at(first, [&s, j] {
+    s.clock.at(first, [&s, j] {
         if (s.how == policy::papayahook)
             give(s, j->router, core::answer_chunk{j->call, 0, "x"});
     });
-    s.at(first + j->tokens * j->gap_ms / 1e3, [&s, i, j] { end_job(s, i, j); });
+    s.clock.at(first + j->tokens * j->gap_ms / 1e3,
+               [&s, i, j] { end_job(s, i, j); });
 }
 
 void send(simulation& s, std::size_t i, job_ptr const& j)
@@ -188,7 +167,7 @@
 {
     core::effects out;
     auto& node = s.nodes[static_cast<std::size_t>(router)];
-    core::reduce(node, {s.time(), std::move(what)}, out);
+    core::reduce(node, {s.clock.time(), std::move(what)}, out);
     for (auto const& it : out) {
         auto const* const d = std::get_if<core::dispatch>(&it);
         if (d == nullptr)
@@ -244,7 +223,7 @@
                    [&](auto i) {
                        auto const& r = s.runners[i];
                        double const busy =
-                           std::max(0.0, r.prefill_free - s.now);
+                           std::max(0.0, r.prefill_free - s.clock.now);
                        double const uncached =
                            j->asked.prompt_tokens - r.hit_tokens(j->asked);
                        double const full =
@@ -276,7 +255,7 @@
 {
     auto j = std::make_shared<job>();
     j->router = static_cast<int>(s.random() % routers);
-    j->arrived = s.now;
+    j->arrived = s.clock.now;
     j->asked =
         request("n" + std::to_string(j->router) + ".1." + std::to_string(id));
     auto const kind = s.random() % 10;
@@ -301,7 +280,7 @@
     give(s, router,
          core::endpoint_report{"r" + std::to_string(i), "1", false, r.running,
                                static_cast<int>(r.waiting.size())});
-    s.at(s.now + 0.25, [&s, router, n] { poll(s, router, n + 1); });
+    s.clock.at(s.clock.now + 0.25, [&s, router, n] { poll(s, router, n + 1); });
 }
 
 scored run(policy how, int n)
@@ -315,13 +294,13 @@
         s.turn[static_cast<std::size_t>(i)] = static_cast<std::size_t>(i) * 5;
     if (how == policy::papayahook)
         for (int i = 0; i < routers; ++i) {
-            s.nodes.push_back(
-                make_node("n" + std::to_string(i),
-                          {.runners = n, .zones = 1, .slots = slots}, start));
+            s.nodes.push_back(make_node(
+                "n" + std::to_string(i),
+                {.runners = n, .zones = 1, .slots = slots}, schedule::start));
             s.nodes.back().settings.prefill_per_token = 250us;
             for (int k = 0; k < routers; ++k)
                 s.nodes.back().members["n" + std::to_string(k)].up = true;
-            s.at(0.01 * i, [&s, i, n] {
+            s.clock.at(0.01 * i, [&s, i, n] {
                 poll(s, i, static_cast<std::size_t>(i * n / routers));
             });
         }
@@ -331,20 +310,15 @@
         auto const j = make_job(s, ++id);
         s.asked[j->asked.id] = j;
         route(s, j);
-        s.at(s.now + gap(s.random), arrive);
+        s.clock.at(s.clock.now + gap(s.random), arrive);
     };
-    s.at(0, arrive);
+    s.clock.at(0, arrive);
     for (int i = 0; i < static_cast<int>(seconds * 20) && !s.nodes.empty(); ++i)
-        s.at(i * 0.05, [&s] {
+        s.clock.at(i * 0.05, [&s] {
             for (int r = 0; r < routers; ++r)
                 give(s, r, core::tick{});
         });
-    while (!s.events.empty() && s.events.top().first < seconds) {
-        auto const it = s.events.top();
-        s.events.pop();
-        s.now = it.first;
-        it.second.second();
-    }
+    s.clock.run_until(seconds);
     // What still waits has missed the target.
     long unserved = 0;
     for (auto const& [name, j] : s.asked)
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -205,15 +205,19 @@
 {
     note_empty_queues(s);
     std::vector<request_id> late;
-    for (auto const& [pool, queues] : s.queues)
-        for (auto const& [name, queue] : queues)
-            for (auto const& [klass, tag, id] : queue) {
+    for (auto const& [pool, queues] : s.queues) {
+        if (!queue_stands(s, pool))
+            continue;
+        for (auto const& [name, queue] : queues) {
+            auto const longest = longest_wait(s, name);
+            std::ranges::for_each(queue, [&](auto const& it) {
+                auto const& id = std::get<request_id>(it);
                 auto const* const r = find_request(s, id);
-                auto const limit =
-                    r == nullptr ? std::nullopt : longest_wait(s, *r);
-                if (limit && r->arrived + *limit <= s.now)
+                if (r != nullptr && has_waited(s, *r, longest))
                     late.push_back(id);
-            }
+            });
+        }
+    }
     for (auto const& id : late) {
         auto& r = s.requests.at(id);
         // A refusal before this one may have made room for it.
@@ -227,15 +231,12 @@
 
 void expire_requests(node_state& s, effects& out)
 {
-    std::vector<request_id> late;
-    for (auto const& [id, r] : s.requests) {
+    auto const late = requests_where(s, [&](auto const& r) {
         bool const waits = r.phase != request_phase::answering &&
                            r.phase != request_phase::handed_over &&
                            r.phase != request_phase::done;
-        if (waits && r.deadline <= s.now)
-            late.push_back(id);
-    }
-    std::ranges::sort(late); // same order on every run and replay
+        return waits && r.deadline <= s.now;
+    });
     for (auto const& id : late) {
         auto& r = s.requests.at(id);
         refusal why{504,        outcome::not_run,          step::queue,
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -98,8 +98,7 @@
     r.offer++;
     r.offered_to = p->link;
     r.offered_at = s.now;
-    s.counts.peer_messages++;
-    out.push_back(send_peer{p->link, offer_of(s, r)});
+    send_to_peer(s, p->link, offer_of(s, r), out);
     return true;
 }
 
@@ -121,18 +120,6 @@
         enqueue(s, r, out);
 }
 
-// Ids of the requests that match, in the same order on every run and replay.
-template <class F>
-std::vector<request_id> requests_where(node_state const& s, F matches)
-{
-    std::vector<request_id> out;
-    for (auto const& [id, r] : s.requests)
-        if (matches(r))
-            out.push_back(id);
-    std::ranges::sort(out);
-    return out;
-}
-
 bool awaits_answer(request_state const& r)
 {
     return r.phase == request_phase::handed_over && r.taken_by.empty();
@@ -170,13 +157,21 @@
     enqueue(s, kept, out);
 }
 
+// The request has no more to do here; an answer that had ended stays so.
+void settle_request(node_state& s, request_state& r)
+{
+    if (has_ended(r))
+        r.phase = request_phase::done;
+    else
+        end_request(s, r);
+}
+
 // An offer whose answer did not reach the leaving node in time has been gone
 // on with there: a newer one takes its place.
 void give_up_older(node_state& s, request_state& r, effects& out)
 {
     stop_call(s, r, out);
-    if (!has_ended(r))
-        end_request(s, r);
+    settle_request(s, r);
 }
 
 } // namespace
@@ -203,9 +198,8 @@
     auto* const held = find_request(s, e.asked.id);
     bool const known = held != nullptr && held->offer >= e.offer;
     bool const takes = !s.leaving && s.config.routes.contains(e.asked.route);
-    s.counts.peer_messages++;
-    out.push_back(send_peer{
-        p.link, hand_over_answer{e.asked.id, e.offer, known || takes}});
+    send_to_peer(s, p.link,
+                 hand_over_answer{e.asked.id, e.offer, known || takes}, out);
     if (known || !takes)
         return;
     remember(s, e.asked.id, "hand_over.take", p.node);
@@ -246,10 +240,7 @@
                       !r->taken_by.empty();
     if (!over)
         return;
-    if (has_ended(*r))
-        r->phase = request_phase::done;
-    else
-        end_request(s, *r);
+    settle_request(s, *r);
 }
 
 void on_offer_lost(node_state& s, std::uint64_t link, effects& out)
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -3,6 +3,8 @@
 
 #include "papayahook/papayahook.hpp"
 
+#include <algorithm>
+
 namespace papayahook::core {
 
 // One visitor of a variant from several lambdas.
@@ -43,9 +45,17 @@
                        duration first_token);
 void adjust_limits(node_state& s);
 void note_empty_queues(node_state& s);
-// Set where the request's queue stands: it waits no longer than this.
-std::optional<duration> longest_wait(node_state const& s,
-                                     request_state const& r);
+// Whether a pool's queue has not been empty for so long that it is no burst.
+bool queue_stands(node_state const& s, std::string const& pool);
+// How long requests wait in such a queue, by what they ask for.
+struct wait_limits
+{
+    duration model{};
+    duration service{};
+};
+wait_limits longest_wait(node_state const& s, std::string const& organisation);
+bool has_waited(node_state const& s, request_state const& r,
+                wait_limits const& longest);
 
 // streams.cpp: from dispatch to the last byte
 void start_call(node_state& s, request_state& r, std::string const& endpoint,
@@ -104,6 +114,8 @@
 void on_peer_closed(node_state& s, peer_closed const& e, effects& out);
 void send_heartbeats(node_state& s, effects& out);
 void check_peers(node_state& s, effects& out);
+void send_to_peer(node_state& s, std::uint64_t link, peer_message message,
+                  effects& out);
 void spread(node_state& s, news const& what, std::uint64_t except,
             effects& out);
 // Position of this node for a duty among live members; 0 holds it.
@@ -121,6 +133,17 @@
 
 // reduce.cpp
 request_state* find_request(node_state& s, request_id const& id);
+// Ids of the requests that match, in the same order on every run and replay.
+template <class F>
+std::vector<request_id> requests_where(node_state const& s, F matches)
+{
+    std::vector<request_id> out;
+    for (auto const& [id, r] : s.requests)
+        if (matches(r))
+            out.push_back(id);
+    std::ranges::sort(out);
+    return out;
+}
 request_state* request_of_call(node_state& s, call_id call);
 void note(effects& out, int number, std::string subject, std::string peer,
           std::string detail);
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -175,26 +175,32 @@
     }
 }
 
-std::optional<duration> longest_wait(node_state const& s,
-                                     request_state const& r)
+bool queue_stands(node_state const& s, std::string const& pool)
 {
 #if PAPAYAHOOK_MUTATION_NO_SHEDDING
-    return std::nullopt;
+    return false;
 #endif
+    auto const it = s.queue_empty.find(pool);
+    return it != s.queue_empty.end() && it->second + standing <= s.now;
+}
+
+wait_limits longest_wait(node_state const& s, std::string const& organisation)
+{
+    auto const part =
+        is_in_share(s, organisation) ? wait_part_in_share : wait_part;
+    return {std::chrono::duration_cast<duration>(
+                duration(s.settings.first_token_target) * part),
+            duration(s.settings.service_wait)};
+}
+
+bool has_waited(node_state const& s, request_state const& r,
+                wait_limits const& longest)
+{
     bool const may_wait = r.klass == priority_class::job ||
                           r.klass == priority_class::order || r.head_sent ||
                           r.attempts > 0;
-    auto const it = s.queue_empty.find(pool_of(s, r));
-    bool const stands =
-        it != s.queue_empty.end() && it->second + standing <= s.now;
-    if (may_wait || !stands)
-        return std::nullopt;
-    if (!r.asked.model)
-        return duration(s.settings.service_wait);
-    auto const part =
-        is_in_share(s, r.organisation) ? wait_part_in_share : wait_part;
-    return std::chrono::duration_cast<duration>(
-        duration(s.settings.first_token_target) * part);
+    auto const limit = r.asked.model ? longest.model : longest.service;
+    return !may_wait && r.arrived + limit <= s.now;
 }
 
 } // namespace papayahook::core
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -9,12 +9,6 @@
 
 constexpr std::size_t small_fleet = 8; // up to here every pair is linked
 
-void send(node_state& s, std::uint64_t link, peer_message message, effects& out)
-{
-    s.counts.peer_messages++;
-    out.push_back(send_peer{link, std::move(message)});
-}
-
 member_news& self_entry(node_state& s)
 {
     auto& it = s.members[s.settings.name];
@@ -108,7 +102,7 @@
 {
     p.last = e;
     if (e.config > s.config.applied)
-        send(s, p.link, config_request{s.config.applied + 1}, out);
+        send_to_peer(s, p.link, config_request{s.config.applied + 1}, out);
 }
 
 void on_news(node_state& s, peer_state const& p, news const& e, effects& out)
@@ -137,13 +131,13 @@
         return;
     bool const whole = !held.empty() && held.front().at <= e.from;
     if (!whole) {
-        send(s, p.link, take_snapshot(s.config), out);
+        send_to_peer(s, p.link, take_snapshot(s.config), out);
         return;
     }
     config_records reply;
     std::ranges::copy_if(held, std::back_inserter(reply.entries),
                          [&](auto const& it) { return it.at >= e.from; });
-    send(s, p.link, std::move(reply), out);
+    send_to_peer(s, p.link, std::move(reply), out);
 }
 
 void lose_peer(node_state& s, std::uint64_t link, std::string const& why,
@@ -221,13 +215,20 @@
         }));
 }
 
+void send_to_peer(node_state& s, std::uint64_t link, peer_message message,
+                  effects& out)
+{
+    s.counts.peer_messages++;
+    out.push_back(send_peer{link, std::move(message)});
+}
+
 void spread(node_state& s, news const& what, std::uint64_t except, effects& out)
 {
     if (is_empty(what))
         return;
     for (auto const& [link, p] : s.peers)
         if (link != except && !p.node.empty())
-            send(s, link, what, out);
+            send_to_peer(s, link, what, out);
 }
 
 void on_peer_opened(node_state& s, peer_opened const& e, effects& out)
@@ -235,16 +236,16 @@
     auto& p = s.peers[e.link];
     p.link = e.link;
     p.heard = s.now;
-    send(s, e.link,
-         hello{protocol_version, s.settings.name, s.settings.incarnation,
-               s.settings.zone, s.settings.caller_address,
-               s.settings.hello_proof},
-         out);
-    send(s, e.link,
-         heartbeat{s.config.applied, static_cast<int>(s.calls.size()),
-                   s.leaving},
-         out);
-    send(s, e.link, all_news(s), out);
+    send_to_peer(s, e.link,
+                 hello{protocol_version, s.settings.name,
+                       s.settings.incarnation, s.settings.zone,
+                       s.settings.caller_address, s.settings.hello_proof},
+                 out);
+    send_to_peer(s, e.link,
+                 heartbeat{s.config.applied, static_cast<int>(s.calls.size()),
+                           s.leaving},
+                 out);
+    send_to_peer(s, e.link, all_news(s), out);
 }
 
 void on_peer_message(node_state& s, peer_received const& e, effects& out)
@@ -288,7 +289,7 @@
                          s.leaving};
     for (auto const& [link, p] : s.peers)
         if (!p.node.empty())
-            send(s, link, beat, out);
+            send_to_peer(s, link, beat, out);
     news counts;
     counts.counts = own_counts(s);
     spread(s, counts, 0, out);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -415,19 +415,16 @@
 // old one may have been lost by something between the two ends.
 void check_progress(node_state& s, effects& out)
 {
-    std::vector<request_id> quiet;
-    for (auto const& [id, r] : s.requests) {
+    auto const quiet = requests_where(s, [&](auto const& r) {
         auto const it = s.config.routes.find(r.asked.route);
         if (r.call == 0 || r.paused || it == s.config.routes.end())
-            continue;
+            return false;
         // One that may not be repeated gains nothing from being given up
         // before its deadline.
         bool const patient = !r.repeatable && r.deadline > s.now;
-        if (!patient &&
-            r.progress_at + it->second.value.progress_timeout <= s.now)
-            quiet.push_back(id);
-    }
-    std::ranges::sort(quiet);
+        return !patient &&
+               r.progress_at + it->second.value.progress_timeout <= s.now;
+    });
     for (auto const& id : quiet) {
         auto& r = s.requests.at(id);
         note(out, events::connection_silent, id, r.endpoint, "");
--- a/src/runtime/reattach.cpp
+++ b/src/runtime/reattach.cpp
@@ -20,6 +20,34 @@
             std::chrono::seconds(0)};
 }
 
+// Asks a peer for an answer; `path` holds the request id and the query.
+http_call ask_peer(node const& n, std::string const& address,
+                   std::string const& path, std::string authorization)
+{
+    http_call call;
+    call.url = "http://" + address + path;
+    call.connect_timeout = n.set.connect_timeout;
+    call.headers = {{forwarded_header, n.set.core.name},
+                    {"Authorization", std::move(authorization)}};
+    return call;
+}
+
+void start_answer(responder_ptr const& out, int status,
+                  header_list const& headers, std::string_view id)
+{
+    out->start(status, {{"Content-Type",
+                         std::string(header_value(headers, "Content-Type"))},
+                        {"X-Request-Id", std::string(id)}});
+}
+
+// The request, when a caller is attached to it.
+open_request* find_attached(node& n, core::request_id const& id)
+{
+    auto const it = n.requests.find(id);
+    bool const attached = it != n.requests.end() && it->second.out != nullptr;
+    return attached ? &it->second : nullptr;
+}
+
 // Candidates that may hold an answer, asked one after the other.
 struct reattach_forward
 {
@@ -33,22 +61,15 @@
 
 void ask_next_holder(node& n, std::shared_ptr<reattach_forward> const& f)
 {
-    http_call call;
-    call.url = "http://" + f->holders.front() + f->path;
+    auto call = ask_peer(n, f->holders.front(), f->path, f->authorization);
     f->holders.erase(f->holders.begin());
-    call.connect_timeout = n.set.connect_timeout;
-    call.headers = {{forwarded_header, n.set.core.name},
-                    {"Authorization", f->authorization}};
     call.on_head = [f](int status, header_list const& headers) {
         bool const asks_on = status == 404 && !f->holders.empty();
         if (asks_on)
             return;
         f->started = true;
-        f->out->start(status,
-                      {{"Content-Type",
-                        std::string(header_value(headers, "Content-Type"))},
-                       {"X-Request-Id",
-                        std::string(header_value(headers, "X-Request-Id"))}});
+        start_answer(f->out, status, headers,
+                     header_value(headers, "X-Request-Id"));
     };
     call.on_data = [f](std::string_view data) {
         if (f->started)
@@ -118,54 +139,56 @@
 void relay_head(node& n, core::request_id const& id, int status,
                 header_list const& headers)
 {
-    auto const it = n.requests.find(id);
-    if (it == n.requests.end() || it->second.out == nullptr)
+    auto* const r = find_attached(n, id);
+    if (r == nullptr)
         return;
-    auto& r = it->second;
-    flush_pending(n, id, r);
-    r.status = status;
-    if (r.streaming)
+    flush_pending(n, id, *r);
+    r->status = status;
+    if (r->streaming)
         return;
-    r.streaming = true;
-    r.out->start(status, {{"Content-Type",
-                           std::string(header_value(headers, "Content-Type"))},
-                          {"X-Request-Id", id}});
+    r->streaming = true;
+    start_answer(r->out, status, headers, id);
 }
 
 void relay_data(node& n, core::request_id const& id, bool begun_here,
                 std::string_view data)
 {
-    auto const it = n.requests.find(id);
-    if (it == n.requests.end() || it->second.out == nullptr)
+    auto* const r = find_attached(n, id);
+    if (r == nullptr)
         return;
     // A problem document cannot follow tokens; relay_done() ends the stream.
-    bool const refused = begun_here && it->second.status != 200;
+    bool const refused = begun_here && r->status != 200;
     if (!refused)
-        it->second.out->write(std::string(data), nullptr);
+        r->out->write(std::string(data), nullptr);
+}
+
+// The end of what the peer sends, or of the connection to it.
+void end_relayed(core::request_id const& id, open_request& r, bool begun_here,
+                 http_result const& result)
+{
+    bool const broken = result.error || (begun_here && result.status != 200);
+    auto const why =
+        unknown_answer("the node that took the request over is gone; "
+                       "ask any node for the rest");
+    if (!r.streaming) {
+        send_problem(r.out, id, why);
+    }
+    else if (broken && is_raw(r) && !begun_here) {
+        r.out->abort();
+    }
+    else {
+        if (broken)
+            r.out->write(error_event(id, why), nullptr);
+        r.out->finish();
+    }
+    detach_caller(r);
 }
 
 void relay_done(node& n, core::request_id const& id, bool begun_here,
                 http_result const& result)
 {
-    auto const it = n.requests.find(id);
-    if (it != n.requests.end() && it->second.out != nullptr) {
-        auto& r = it->second;
-        bool const broken =
-            result.error || (begun_here && result.status != 200);
-        auto const why =
-            unknown_answer("the node that took the request over is gone; "
-                           "ask any node for the rest");
-        if (!r.streaming)
-            send_problem(r.out, id, why);
-        else if (broken && is_raw(r) && !begun_here)
-            r.out->abort();
-        else {
-            if (broken)
-                r.out->write(error_event(id, why), nullptr);
-            r.out->finish();
-        }
-        detach_caller(r);
-    }
+    if (auto* const r = find_attached(n, id))
+        end_relayed(id, *r, begun_here, result);
     handle(n, core::relay_ended{id});
 }
 
@@ -203,21 +226,17 @@
 
 void perform(node& n, core::relay const& it)
 {
-    auto const found = n.requests.find(it.id);
-    if (found == n.requests.end() || found->second.out == nullptr) {
+    auto* const r = find_attached(n, it.id);
+    if (r == nullptr) {
         handle(n, core::relay_ended{it.id});
         return;
     }
-    auto& r = found->second;
-    flush_pending(n, it.id, r);
-    bool const begun = r.streaming;
-    http_call call;
-    call.url = "http://" + it.address + std::string(requests_prefix) + it.id +
-               "?from=" + std::to_string(begun ? it.from : 0);
-    call.connect_timeout = n.set.connect_timeout;
-    call.headers = {{forwarded_header, n.set.core.name},
-                    {"Authorization", std::string(header_value(
-                                          r.asked.headers, "Authorization"))}};
+    flush_pending(n, it.id, *r);
+    bool const begun = r->streaming;
+    auto const from = std::to_string(begun ? it.from : 0);
+    auto call = ask_peer(
+        n, it.address, std::string(requests_prefix) + it.id + "?from=" + from,
+        std::string(header_value(r->asked.headers, "Authorization")));
     call.on_head = [&n, id = it.id](int status, header_list const& headers) {
         relay_head(n, id, status, headers);
     };
@@ -227,7 +246,7 @@
     call.on_done = [&n, id = it.id, begun](http_result const& result) {
         relay_done(n, id, begun, result);
     };
-    r.relay = n.client.start(std::move(call));
+    r->relay = n.client.start(std::move(call));
 }
 
 core::caller_message message_of(node const& n, core::request_id const& id)
