--- a/bench/limits_bench.cpp
+++ b/bench/limits_bench.cpp
@@ -133,8 +133,8 @@
     s.count(a).refused++;
     if (--a.tries_left == 0)
         return;
-    double const told =
-        std::max<double>(0.05, static_cast<double>(why.retry_after.count()));
+    double const told = std::max<double>(
+        0.05, std::chrono::duration<double>(why.retry_after).count());
     double const wait = told * std::uniform_real_distribution<>(1, 2)(s.random);
     a.node = s.random() % nodes;
     s.clock.at(s.clock.now + wait, [&s, a] { send_request(s, a); });
--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -86,12 +86,12 @@
 
 struct refusal
 {
-    int status = 503;                   // HTTP status for the caller
-    outcome what = outcome::not_run;    // never guessed: see docs/REFUSALS.md
-    step where = step::admit;           // step that failed
-    std::string peer;                   // endpoint or node; may be empty
-    std::string detail;                 // one sentence for a person
-    std::chrono::seconds retry_after{}; // zero: do not say
+    int status = 503;                // HTTP status for the caller
+    outcome what = outcome::not_run; // never guessed: see docs/REFUSALS.md
+    step where = step::admit;        // step that failed
+    std::string peer;                // endpoint or node; may be empty
+    std::string detail;              // one sentence for a person
+    std::chrono::milliseconds retry_after{}; // zero: do not say
 };
 
 // ---------------------------------------------------------------------------
@@ -104,6 +104,36 @@
     std::vector<std::string> key_digests; // SHA-256 of the bearer keys, hex
     double weight = 1.0;                  // share under contention
     int max_in_flight = 1000;             // per node
+    std::optional<priority_class> klass;  // goes before the route's
+    double quota_rate = 0;      // units a second, all nodes together; 0: none
+    double quota_burst = 0;     // units
+    bool counts_tokens = false; // a unit is a token; else a request
+    int plain_tokens = 1;       // of a request that names no tokens
+};
+
+// How many endpoints of a pool may be ordered, and what they cost.
+struct pool_scaling
+{
+    int least = 0; // per availability zone, both kinds together
+    int most = 0;
+    std::chrono::milliseconds boot{};
+    double reclaimable_price = 1;            // of the price of the others
+    std::map<std::string, double> zone_cost; // a second of one endpoint
+};
+
+struct pool
+{
+    std::string name;
+    std::string health_path;
+    int max_connections = 0;        // per endpoint, all nodes together; 0: any
+    std::int64_t memory_tokens = 0; // of a model runner
+    std::optional<pool_scaling> scaling;
+};
+
+struct weighted_pool
+{
+    std::string pool;
+    double weight = 1;
 };
 
 struct endpoint
@@ -118,6 +148,7 @@
     int slots = 16;                           // requests run at once
     bool checks_fencing = false;              // refuses old fencing numbers
     std::string incarnation;                  // new one: same address is new
+    bool reclaimable = false;
 };
 
 struct route
@@ -129,6 +160,15 @@
     bool repeatable = true; // false: runs at most once
     std::chrono::milliseconds deadline{30'000};
     std::chrono::milliseconds progress_timeout{2'000}; // quiet: failed
+    bool whole_deadline = false;        // the deadline covers the last byte too
+    std::string host;                   // with `path_prefix`: see match_route()
+    std::string path_prefix;            // begins and ends with a slash
+    std::vector<weighted_pool> splits;  // empty: all go to `pool`
+    bool open = false;                  // needs no key
+    bool streams = false;               // answers with server-sent events
+    bool resumable = false;             // a stream may go on elsewhere
+    int max_attempts = 0;               // calls of a request; 0: any
+    std::chrono::milliseconds target{}; // to the first byte; zero: none
 };
 
 // Moves a route from its version to another by a deadline.
@@ -185,6 +225,8 @@
 struct config_snapshot
 {
     offset applied = 0;
+    bool lists_endpoints = true; // false: these come one by one, as entries
+    std::vector<pool> pools;
     std::vector<revisioned<organisation>> organisations;
     std::vector<revisioned<endpoint>> endpoints;
     std::vector<revisioned<route>> routes;
@@ -205,6 +247,44 @@
     config_body body;
 };
 
+// What a registry says of one endpoint. The highest offset of a name holds.
+struct endpoint_entry
+{
+    offset at = 0;
+    std::string name;
+    bool present = false;  // false: the registry dropped it
+    bool draining = false; // takes no new work
+    endpoint what;
+};
+
+// Requests of an organisation that began to run in a window of wall-clock
+// time, by (window, organisation).
+using usage_counts =
+    std::map<std::int64_t, std::map<std::string, std::uint64_t>>;
+
+struct usage_report
+{
+    std::int64_t window = 0;
+    std::map<std::string, std::uint64_t> counts; // by organisation
+};
+
+// A record of the "duties" stream. It renews its writer's lease; an intent
+// stands there before its call, so that a successor repeats the same one.
+struct duty_record
+{
+    std::string holder;
+    std::uint64_t incarnation = 0;
+    std::uint64_t fencing = 0; // offset at which the holder took the lease
+    bool release = false;      // the holder gives the lease up
+    std::optional<usage_report> intent;
+};
+
+struct duty_entry
+{
+    offset at = 0;
+    duty_record record;
+};
+
 // A record of the "claims" stream: the right to run one request that is not
 // repeatable, or what became of it.
 enum class claim_kind
@@ -255,6 +335,9 @@
     offset config = 0; // highest offset applied
     int in_flight = 0;
     bool leaving = false;
+    std::map<std::string, double> demand; // units a second, by organisation
+    std::map<std::string, int> calls;     // in flight, by endpoint
+    usage_counts usage;                   // of this node, newest windows
 };
 
 // Spreads by flooding, each item once: a node relays what it did not know.
@@ -320,6 +403,7 @@
     std::vector<member_news> members;
     std::vector<move_counts> counts;
     std::vector<successor_news> successors;
+    std::vector<endpoint_entry> endpoints;
 };
 
 // A caller's request as the core sees it.
@@ -336,7 +420,9 @@
     std::optional<priority_class> klass;
     std::optional<std::chrono::milliseconds> deadline; // from now
     int prompt_tokens = 0;
+    int answer_tokens = 0;                    // at most; 0: not known
     std::vector<std::uint64_t> prefix_blocks; // chained hashes of the prompt
+    std::vector<int> block_tokens; // of each; empty: prefix_block_tokens each
 };
 
 // The same request as its caller sent it, without the key. The core does not
@@ -420,6 +506,7 @@
     std::string content_type;
     bool not_run = false; // the endpoint says that it did not run it
     bool leaving = false; // the endpoint says that it is leaving
+    std::vector<std::pair<std::string, std::string>> headers; // others
 };
 
 // For a model runner one token with its index; else one piece of the body.
@@ -508,6 +595,34 @@
     request_id id;
 };
 
+// The configuration in force as one document; endpoints come as entries.
+struct config_published
+{
+    config_snapshot what;
+};
+
+struct endpoint_listed
+{
+    endpoint_entry what;
+};
+
+struct duties_read
+{
+    offset end = 0; // offset of the next record
+    std::vector<duty_entry> entries;
+};
+
+struct duty_append_done
+{
+    bool ok = false; // false: nothing is known; the stream will tell
+};
+
+struct usage_reported
+{
+    std::int64_t window = 0;
+    bool ok = false;
+};
+
 struct shutdown_requested
 {
 };
@@ -523,7 +638,8 @@
                  answer_head, answer_chunk, answer_end, call_failed, log_read,
                  append_done, log_reachable, peer_opened, peer_received,
                  peer_closed, endpoint_report, instance_list, relay_ended,
-                 shutdown_requested, tick>
+                 config_published, endpoint_listed, duties_read,
+                 duty_append_done, usage_reported, shutdown_requested, tick>
         what;
 };
 
@@ -545,6 +661,9 @@
     std::string address;
     endpoint_kind kind = endpoint_kind::plain_service;
     std::string version;
+    std::string incarnation;  // of the endpoint
+    std::string organisation; // of the caller
+    priority_class klass = priority_class::chat;
     std::vector<std::string> resume_chunks; // tokens that the caller has
     bool fresh_connection = false; // true: must not go out on a reused one
     std::chrono::milliseconds timeout{};
@@ -570,6 +689,7 @@
     request_id id;
     int status = 200;
     std::string content_type;
+    std::vector<std::pair<std::string, std::string>> headers;
 };
 
 struct send_chunk
@@ -618,6 +738,19 @@
     std::uint64_t link = 0;
 };
 
+// Appends to the "duties" stream if that still ends at `at`.
+struct append_duty
+{
+    offset at = 0;
+    duty_record record;
+};
+
+struct report_usage
+{
+    std::uint64_t fencing = 0;
+    usage_report what;
+};
+
 // A numbered event for the log; catalogue in docs/EVENTS.md.
 struct log_event
 {
@@ -640,7 +773,8 @@
 using effect =
     std::variant<refuse, dispatch, cancel_call, pause_call, resume_call,
                  send_head, send_chunk, finish_answer, fail_answer, relay,
-                 append, send_peer, close_peer, log_event, wake, exit_process>;
+                 append, send_peer, close_peer, append_duty, report_usage,
+                 log_event, wake, exit_process>;
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
@@ -658,7 +792,8 @@
     int max_queue = 2000;          // of one organisation before one pool
     std::size_t max_backlog = 256; // chunks held for a slow caller, then pause
     int max_attempts = 4;          // dispatches of one request
-    double retry_budget = 0.2;     // retries per first dispatch, per route
+    double retry_budget = 0.2;     // retries per first dispatch, per pool
+    double retry_burst = 20;       // retries that may come at once, per pool
     int claim_batch = 256;         // claim records per append
     int append_budget = 300; // appends of claims a second, all nodes together
     std::chrono::milliseconds outcome_linger{100};   // outcomes wait for claims
@@ -676,7 +811,18 @@
     std::chrono::milliseconds move_margin{2'000};    // taken back this early
     std::chrono::milliseconds answer_linger{30'000}; // kept for re-attach
     std::chrono::milliseconds hand_over_after{1'000}; // of a leaving node
-    std::chrono::seconds claim_horizon{86'400};       // at most the retention
+    bool hands_over = true; // false: requests end where they came in
+    // A leaving node takes requests until callers know that it leaves, and
+    // cuts what is left at the end of its time.
+    std::chrono::milliseconds accept_while_leaving{0};
+    std::chrono::milliseconds leave_within{3'600'000};
+    bool holds_duties = false;              // takes part in the lease
+    std::chrono::milliseconds lease{3'000}; // no two holders within it
+    std::chrono::milliseconds usage_window{5'000};
+    std::chrono::milliseconds usage_delay{2'500}; // for counts to come in
+    // Of a registry that was out of reach: dropped entries may come back.
+    std::chrono::milliseconds relist_grace{2'000};
+    std::chrono::seconds claim_horizon{86'400}; // at most the retention
     std::chrono::milliseconds append_retry{200};
     std::uint64_t checkpoint_every = 256; // config records
     std::chrono::seconds checkpoint_period{3'600};
@@ -725,8 +871,11 @@
     std::map<std::string, move_state> moves;
     std::map<std::string, std::string> organisation_by_key;
     std::deque<record_verdict> verdicts; // newest last, bounded
-    std::deque<log_entry> entries;       // newest, for peers that lag
-    offset checkpoint = 0; // highest `applied` of a checkpoint seen
+    bool lists_endpoints = true;         // see config_snapshot
+    std::map<std::string, pool> pools;
+    std::map<std::string, std::vector<std::string>> routes_by_host;
+    std::deque<log_entry> entries; // newest, for peers that lag
+    offset checkpoint = 0;         // highest `applied` of a checkpoint seen
     time_point checkpoint_at{};
 };
 
@@ -743,6 +892,8 @@
     double first_token_us = 0;       // moving average
     std::set<std::uint64_t> prefixes;
     std::deque<std::uint64_t> prefix_order; // oldest first
+    endpoint_entry entry;                   // newest of the registry
+    time_point gone_at{};                   // not listed: in use until then
 };
 
 // How many calls of a pool's version this node keeps open. Found from the
@@ -781,7 +932,7 @@
     std::string claim_key;
     call_id call = 0; // 0: none open
     std::string endpoint;
-    std::string pool;        // of the endpoint
+    std::string pool;        // asked for, then of the endpoint
     std::string version;     // fixed by the first chunk
     std::string move;        // counted for this move
     bool counts_new = false; // sent to the move's new version
@@ -793,6 +944,7 @@
     time_point progress_at{};
     int status = 0;
     std::string content_type;
+    std::vector<std::pair<std::string, std::string>> headers;
     bool head_sent = false;
     bool first_chunk_seen = false;
     bool paused = false;
@@ -857,6 +1009,36 @@
     heartbeat last;
 };
 
+// Units that an organisation may still spend here.
+struct quota_state
+{
+    double left = 0;   // units
+    double share = 0;  // of the organisation's rate
+    double demand = 0; // units a second, moving mean
+    double asked = 0;  // since counted_at
+    time_point filled_at{};
+    time_point counted_at{};
+};
+
+// The lease on the duties, and what its holder does.
+struct duty_state
+{
+    bool read_once = false;
+    offset end = 0;            // of the stream
+    duty_record newest;        // holder empty: none yet
+    time_point newest_seen{};  // when it was read here
+    std::uint64_t fencing = 0; // of the own lease; 0: none
+    time_point held_until{};   // of the own lease
+    time_point asked_at{};     // newest append; time_point{}: none open
+    time_point append_sent{};
+    usage_counts own;                             // of this node
+    std::map<std::string, usage_counts> others;   // by node
+    std::map<std::int64_t, usage_report> intents; // not known to be reported
+    std::int64_t reported_to = 0;                 // windows below are reported
+    std::int64_t reporting = 0;                   // call in flight; 0: none
+    time_point report_at{};                       // not before
+};
+
 // Why something was decided; a bounded ring, printed by papayahookctl explain.
 struct decision
 {
@@ -909,8 +1091,11 @@
     std::map<std::string, double> fair_tag;          // by organisation
     double fair_now = 0;
     std::map<std::string, int> in_flight;       // by organisation
-    std::map<std::string, double> retry_tokens; // by route
-    std::map<std::uint64_t, peer_state> peers;  // by link
+    std::map<std::string, double> retry_tokens; // by pool
+    std::map<std::string, quota_state> quotas;  // by organisation
+    duty_state duties;
+    time_point log_back_at{}; // the log answers again since then
+    std::map<std::uint64_t, peer_state> peers; // by link
     std::set<endpoint_leaving> known_leaving;
     std::map<std::pair<std::string, offset>, std::string> vetoes;
     std::deque<successor_news> successors; // newest last, bounded
@@ -952,6 +1137,11 @@
                                        std::vector<std::string> const& names,
                                        int degree);
 
+// The route of a host whose path prefix is the longest that begins the path;
+// empty when none matches.
+std::string match_route(configuration const& config, std::string_view host,
+                        std::string_view path);
+
 // Caller addresses of the nodes that may hold a request's answer, the
 // likeliest first: the one that its id names, then those that took it over.
 std::vector<std::string> holders_of(node_state const& state,
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -77,11 +77,18 @@
     NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(__VA_ARGS__)
 
 PAPAYAHOOK_JSON(refusal, status, what, where, peer, detail, retry_after)
-PAPAYAHOOK_JSON(organisation, name, key_digests, weight, max_in_flight)
+PAPAYAHOOK_JSON(organisation, name, key_digests, weight, max_in_flight, klass,
+                quota_rate, quota_burst, counts_tokens, plain_tokens)
+PAPAYAHOOK_JSON(pool_scaling, least, most, boot, reclaimable_price, zone_cost)
+PAPAYAHOOK_JSON(pool, name, health_path, max_connections, memory_tokens,
+                scaling)
+PAPAYAHOOK_JSON(weighted_pool, pool, weight)
 PAPAYAHOOK_JSON(endpoint, name, kind, pool, address, zone, version,
-                schema_versions, slots, checks_fencing, incarnation)
+                schema_versions, slots, checks_fencing, incarnation,
+                reclaimable)
 PAPAYAHOOK_JSON(route, name, pool, version, klass, repeatable, deadline,
-                progress_timeout)
+                progress_timeout, whole_deadline, host, path_prefix, splits,
+                open, streams, resumable, max_attempts, target)
 PAPAYAHOOK_JSON(version_move, name, route, to, deadline, canary_share,
                 min_samples, max_bad_excess, max_latency_ratio)
 PAPAYAHOOK_JSON(move_step, move, stage, end, reason, node)
@@ -90,8 +97,12 @@
 PAPAYAHOOK_JSON(revisioned<route>, value, revision)
 PAPAYAHOOK_JSON(move_snapshot, spec, from, stage, end, reason, started,
                 revision, stage_since)
-PAPAYAHOOK_JSON(config_snapshot, applied, organisations, endpoints, routes,
-                moves)
+PAPAYAHOOK_JSON(config_snapshot, applied, lists_endpoints, pools, organisations,
+                endpoints, routes, moves)
+PAPAYAHOOK_JSON(endpoint_entry, at, name, present, draining, what)
+PAPAYAHOOK_JSON(usage_report, window, counts)
+PAPAYAHOOK_JSON(duty_record, holder, incarnation, fencing, release, intent)
+PAPAYAHOOK_JSON(duty_entry, at, record)
 
 // JSON text holds only UTF-8: other bodies go as hexadecimal digits.
 inline bool is_utf8(std::string const& text)
@@ -153,7 +164,7 @@
 }
 
 PAPAYAHOOK_JSON(hello, protocol, node, incarnation, zone, caller_address, proof)
-PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving)
+PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, calls, usage)
 PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
 PAPAYAHOOK_JSON(version_veto, move, started, reason)
 PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
@@ -161,7 +172,7 @@
 PAPAYAHOOK_JSON(version_counts, answers, failed, slow)
 PAPAYAHOOK_JSON(move_counts, move, node, incarnation, started, stage, from, to)
 PAPAYAHOOK_JSON(successor_news, node, incarnation, successor)
-PAPAYAHOOK_JSON(news, leaving, vetoes, members, counts, successors)
+PAPAYAHOOK_JSON(news, leaving, vetoes, members, counts, successors, endpoints)
 PAPAYAHOOK_JSON(config_request, from)
 
 // A variant is an object of its alternative with its name under "type".
@@ -202,6 +213,11 @@
 PAPAYAHOOK_NAME(endpoint_report)
 PAPAYAHOOK_NAME(instance_list)
 PAPAYAHOOK_NAME(relay_ended)
+PAPAYAHOOK_NAME(config_published)
+PAPAYAHOOK_NAME(endpoint_listed)
+PAPAYAHOOK_NAME(duties_read)
+PAPAYAHOOK_NAME(duty_append_done)
+PAPAYAHOOK_NAME(usage_reported)
 PAPAYAHOOK_NAME(shutdown_requested)
 PAPAYAHOOK_NAME(tick)
 PAPAYAHOOK_NAME(refuse)
@@ -217,6 +233,8 @@
 PAPAYAHOOK_NAME(append)
 PAPAYAHOOK_NAME(send_peer)
 PAPAYAHOOK_NAME(close_peer)
+PAPAYAHOOK_NAME(append_duty)
+PAPAYAHOOK_NAME(report_usage)
 PAPAYAHOOK_NAME(log_event)
 PAPAYAHOOK_NAME(wake)
 PAPAYAHOOK_NAME(exit_process)
@@ -279,7 +297,7 @@
 PAPAYAHOOK_JSON(config_records, entries)
 PAPAYAHOOK_JSON(request_arrived, id, key_digest, route, model, keep,
                 idempotency_key, body_digest, schema_version, klass, deadline,
-                prompt_tokens, prefix_blocks)
+                prompt_tokens, answer_tokens, prefix_blocks, block_tokens)
 PAPAYAHOOK_JSON(caller_message, method, path, query, headers, body)
 PAPAYAHOOK_JSON(hand_over, offer, asked, message, organisation, klass, left,
                 endpoint, version, status, content_type, head_sent, chunks,
@@ -288,7 +306,8 @@
 PAPAYAHOOK_JSON(caller_gone, id)
 PAPAYAHOOK_JSON(caller_drained, id, index)
 PAPAYAHOOK_JSON(reattach, id, from)
-PAPAYAHOOK_JSON(answer_head, call, status, content_type, not_run, leaving)
+PAPAYAHOOK_JSON(answer_head, call, status, content_type, headers, not_run,
+                leaving)
 PAPAYAHOOK_JSON(answer_chunk, call, index, data)
 PAPAYAHOOK_JSON(answer_end, call, chunks)
 PAPAYAHOOK_JSON(call_failed, call, where, may_have_run, detail)
@@ -303,14 +322,20 @@
 PAPAYAHOOK_JSON(listed_instance, endpoint, incarnation, leaving)
 PAPAYAHOOK_JSON(instance_list, instances)
 PAPAYAHOOK_JSON(relay_ended, id)
+PAPAYAHOOK_JSON(config_published, what)
+PAPAYAHOOK_JSON(endpoint_listed, what)
+PAPAYAHOOK_JSON(duties_read, end, entries)
+PAPAYAHOOK_JSON(duty_append_done, ok)
+PAPAYAHOOK_JSON(usage_reported, window, ok)
 PAPAYAHOOK_JSON(event, at, what)
 PAPAYAHOOK_JSON(refuse, id, why)
 PAPAYAHOOK_JSON(dispatch, id, call, endpoint, address, kind, version,
-                resume_chunks, fresh_connection, timeout)
+                incarnation, organisation, klass, resume_chunks,
+                fresh_connection, timeout)
 PAPAYAHOOK_JSON(cancel_call, call)
 PAPAYAHOOK_JSON(pause_call, call)
 PAPAYAHOOK_JSON(resume_call, call)
-PAPAYAHOOK_JSON(send_head, id, status, content_type)
+PAPAYAHOOK_JSON(send_head, id, status, content_type, headers)
 PAPAYAHOOK_JSON(send_chunk, id, index, data)
 PAPAYAHOOK_JSON(finish_answer, id)
 PAPAYAHOOK_JSON(fail_answer, id, why)
@@ -318,16 +343,20 @@
 PAPAYAHOOK_JSON(append, append, stream, id, records)
 PAPAYAHOOK_JSON(send_peer, link, message)
 PAPAYAHOOK_JSON(close_peer, link)
+PAPAYAHOOK_JSON(append_duty, at, record)
+PAPAYAHOOK_JSON(report_usage, fencing, what)
 PAPAYAHOOK_JSON(wake, at)
 PAPAYAHOOK_JSON(log_event, number, subject, peer, detail)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
-                max_queue, max_backlog, max_attempts, retry_budget, claim_batch,
-                append_budget, outcome_linger, max_shared_body,
+                max_queue, max_backlog, max_attempts, retry_budget, retry_burst,
+                claim_batch, append_budget, outcome_linger, max_shared_body,
                 max_shared_bytes, first_token_target, service_wait, hop_cost,
                 prefill_per_token, endpoint_pause, report_horizon,
                 heartbeat_period, peer_timeout, stage_time, move_margin,
-                answer_linger, hand_over_after, claim_horizon, append_retry,
-                checkpoint_every, checkpoint_period)
+                answer_linger, hand_over_after, hands_over,
+                accept_while_leaving, leave_within, holds_duties, lease,
+                usage_window, usage_delay, relist_grace, claim_horizon,
+                append_retry, checkpoint_every, checkpoint_period)
 PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
                 failed_answers, dispatches, retries, resumed_streams,
                 tokens_recomputed, appends, claims, peer_messages, handed_over,
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -27,21 +27,26 @@
 std::optional<refusal> admission_error(node_state& s, request_arrived const& e)
 {
     auto const refusal_of = [](int status, step where, std::string detail,
-                               std::chrono::seconds retry = 0s) {
+                               std::chrono::milliseconds retry = 0ms) {
         return refusal{status, outcome::not_run,  where,
                        "",     std::move(detail), retry};
     };
-    if (s.leaving)
+    if (s.leaving && s.now >= s.leaving_since + s.settings.accept_while_leaving)
         return refusal_of(503, step::shutdown, "this node is leaving",
                           retry_soon);
     if (s.config.applied == 0)
         return refusal_of(503, step::admit, "no configuration read yet",
                           retry_soon);
     auto const org = s.config.organisation_by_key.find(e.key_digest);
-    if (org == s.config.organisation_by_key.end())
+    auto const found = s.config.routes.find(e.route);
+    bool const open =
+        found != s.config.routes.end() && found->second.value.open;
+    if (org == s.config.organisation_by_key.end() && !open)
         return refusal_of(401, step::authenticate, "unknown caller key");
-    if (!s.config.routes.contains(e.route))
+    if (found == s.config.routes.end())
         return refusal_of(404, step::admit, "no such route");
+    if (org == s.config.organisation_by_key.end())
+        return std::nullopt;
     auto const& limits = s.config.organisations.at(org->second).value;
     if (s.in_flight[org->second] >= limits.max_in_flight)
         return refusal_of(429, step::admit,
@@ -50,6 +55,9 @@
     auto const& queue = s.queues[it.pool][org->second];
     if (queue.size() >= static_cast<std::size_t>(s.settings.max_queue))
         return refusal_of(503, step::queue, "the queue is full", retry_soon);
+    if (auto const wait = charge_quota(s, limits, e))
+        return refusal_of(429, step::admit,
+                          "the organisation's quota is used up", *wait);
     return std::nullopt;
 }
 
@@ -66,7 +74,7 @@
     std::tuple const wanted{version, r.asked.schema_version, in_share};
     if (full.contains(wanted))
         return false;
-    auto const endpoint = has_room(s, it.pool, version, in_share)
+    auto const endpoint = has_room(s, pool_of(s, r), version, in_share)
                               ? choose_endpoint(s, r, version)
                               : std::string{};
     if (endpoint.empty()) {
@@ -138,10 +146,32 @@
 
 std::string pool_of(node_state const& s, request_state const& r)
 {
+    if (!r.pool.empty())
+        return r.pool;
     auto const it = s.config.routes.find(r.asked.route);
     return it == s.config.routes.end() ? std::string{} : it->second.value.pool;
 }
 
+// One pool by weight; the same for a request wherever it is asked.
+std::string split_pool(route const& it, request_id const& id)
+{
+    if (it.splits.empty())
+        return it.pool;
+    double total = 0;
+    for (auto const& n : it.splits)
+        total += n.weight;
+    constexpr double steps = 1'000'000;
+    double left =
+        static_cast<double>(hash_of(id) % static_cast<std::uint64_t>(steps)) /
+        steps * total;
+    for (auto const& n : it.splits) {
+        left -= n.weight;
+        if (left < 0)
+            return n.pool;
+    }
+    return it.splits.back().pool;
+}
+
 void on_request(node_state& s, request_arrived const& e, effects& out)
 {
     s.counts.requests++;
@@ -154,8 +184,16 @@
     auto const& it = s.config.routes.at(e.route).value;
     request_state r;
     r.asked = e;
-    r.organisation = s.config.organisation_by_key.at(e.key_digest);
-    r.klass = e.klass.value_or(it.klass);
+    auto const org = s.config.organisation_by_key.find(e.key_digest);
+    if (org != s.config.organisation_by_key.end()) {
+        r.organisation = org->second;
+        auto const& rank = s.config.organisations.at(org->second).value.klass;
+        r.klass = e.klass.value_or(rank.value_or(it.klass));
+    }
+    else {
+        r.klass = e.klass.value_or(it.klass);
+    }
+    r.pool = split_pool(it, e.id);
     r.repeatable = it.repeatable && e.idempotency_key.empty();
     r.arrived = s.now;
     r.deadline =
@@ -232,7 +270,11 @@
 void expire_requests(node_state& s, effects& out)
 {
     auto const late = requests_where(s, [&](auto const& r) {
-        bool const waits = r.phase != request_phase::answering &&
+        bool const answers = r.phase == request_phase::answering;
+        auto const it = s.config.routes.find(r.asked.route);
+        bool const whole =
+            it != s.config.routes.end() && it->second.value.whole_deadline;
+        bool const waits = (!answers || whole) &&
                            r.phase != request_phase::handed_over &&
                            r.phase != request_phase::done;
         return waits && r.deadline <= s.now;
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -320,12 +320,17 @@
 {
     config_snapshot out;
     out.applied = c.applied;
+    out.lists_endpoints = c.lists_endpoints;
+    for (auto const& [name, it] : c.pools)
+        out.pools.push_back(it);
     for (auto const& [name, it] : c.organisations)
         out.organisations.push_back(it);
-    for (auto const& [name, it] : c.endpoints)
-        out.endpoints.push_back(it);
     for (auto const& [name, it] : c.routes)
         out.routes.push_back(it);
+    if (!c.lists_endpoints)
+        return out;
+    for (auto const& [name, it] : c.endpoints)
+        out.endpoints.push_back(it);
     for (auto const& [name, it] : c.moves)
         out.moves.push_back({it.spec, it.from, it.stage, it.end, it.reason,
                              it.started, it.revision, it.stage_since});
@@ -338,6 +343,13 @@
         return false;
     configuration fresh;
     fresh.applied = snapshot.applied;
+    fresh.lists_endpoints = snapshot.lists_endpoints;
+    for (auto const& it : snapshot.pools)
+        fresh.pools[it.name] = it;
+    if (!snapshot.lists_endpoints) {
+        fresh.endpoints = std::move(c.endpoints);
+        fresh.moves = std::move(c.moves);
+    }
     fresh.checkpoint = std::max(c.checkpoint, snapshot.applied);
     fresh.verdicts = std::move(c.verdicts);
     for (auto const& it : snapshot.organisations)
@@ -359,6 +371,7 @@
         fresh.moves[it.spec.name] = std::move(m);
     }
     index_keys(fresh);
+    index_routes(fresh);
     c = std::move(fresh);
     return true;
 }
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -22,6 +22,7 @@
 void drain_queues(node_state& s, effects& out);
 void leave_queue(node_state& s, request_state const& r);
 std::string pool_of(node_state const& s, request_state const& r);
+std::string split_pool(route const& it, request_id const& id);
 void expire_requests(node_state& s, effects& out);
 void shed_waiting(node_state& s, effects& out);
 
@@ -88,6 +89,31 @@
 void expire_claims(node_state& s);
 void on_claims_read(node_state& s, log_read const& e, effects& out);
 
+// registry.cpp: configuration and endpoints as a registry tells them
+void index_routes(configuration& c);
+void on_config_published(node_state& s, config_published const& e,
+                         effects& out);
+bool learn_endpoint(node_state& s, endpoint_entry const& e, effects& out);
+// Listed once, and now to be given no work.
+bool is_out_of_use(node_state const& s, endpoint_state const& known);
+void forget_endpoints(node_state& s);
+std::vector<endpoint_entry> all_entries(node_state const& s);
+
+// quota.cpp
+double quota_cost(organisation const& org, request_arrived const& e);
+std::optional<std::chrono::milliseconds>
+charge_quota(node_state& s, organisation const& org, request_arrived const& e);
+std::map<std::string, double> own_demand(node_state& s);
+
+// duties.cpp: what one node does for all
+void on_duties_read(node_state& s, duties_read const& e, effects& out);
+void on_duty_append(node_state& s, duty_append_done const& e);
+void on_usage_reported(node_state& s, usage_reported const& e, effects& out);
+void tend_duties(node_state& s, effects& out);
+void count_usage(node_state& s, std::string const& organisation);
+usage_counts own_usage(node_state const& s);
+void learn_usage(node_state& s, peer_state const& p, usage_counts const& e);
+
 // config.cpp
 move_state* open_move_of(configuration& c, std::string const& route);
 void on_config_read(node_state& s, log_read const& e, effects& out);
@@ -163,6 +189,7 @@
 inline constexpr int config_gap = 203;
 inline constexpr int snapshot_installed = 204;
 inline constexpr int checkpoint_asked = 205;
+inline constexpr int endpoint_listed = 206;
 inline constexpr int log_lost = 301;
 inline constexpr int log_back = 302;
 inline constexpr int append_in_doubt = 303;
@@ -173,6 +200,9 @@
 inline constexpr int answer_failed = 404;
 inline constexpr int connection_silent = 405;
 inline constexpr int outcome_unknown = 406;
+inline constexpr int request_sent = 407;
+inline constexpr int request_answered = 408;
+inline constexpr int caller_left = 409;
 inline constexpr int endpoint_leaving = 501;
 inline constexpr int endpoint_paused = 502;
 inline constexpr int handed_over = 503;
@@ -184,6 +214,9 @@
 inline constexpr int move_stage = 701;
 inline constexpr int move_vetoed = 702;
 inline constexpr int move_ended = 703;
+inline constexpr int lease_taken = 801;
+inline constexpr int lease_lost = 802;
+inline constexpr int usage_reported = 803;
 } // namespace events
 
 } // namespace papayahook::core
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -20,10 +20,24 @@
     return it;
 }
 
+heartbeat own_heartbeat(node_state& s)
+{
+    heartbeat out;
+    out.config = s.config.applied;
+    out.in_flight = static_cast<int>(s.calls.size());
+    out.leaving = s.leaving;
+    out.demand = own_demand(s);
+    for (auto const& [name, it] : s.endpoints)
+        if (it.in_flight > 0)
+            out.calls[name] = it.in_flight;
+    out.usage = own_usage(s);
+    return out;
+}
+
 bool is_empty(news const& it)
 {
     return it.leaving.empty() && it.vetoes.empty() && it.members.empty() &&
-           it.counts.empty() && it.successors.empty();
+           it.counts.empty() && it.successors.empty() && it.endpoints.empty();
 }
 
 // All that a peer which was away may have missed.
@@ -38,6 +52,7 @@
         out.members.push_back(it);
     out.counts = own_counts(s);
     out.successors.assign(s.successors.begin(), s.successors.end());
+    out.endpoints = all_entries(s);
     return out;
 }
 
@@ -101,6 +116,7 @@
                   effects& out)
 {
     p.last = e;
+    learn_usage(s, p, e.usage);
     if (e.config > s.config.applied)
         send_to_peer(s, p.link, config_request{s.config.applied + 1}, out);
 }
@@ -108,6 +124,8 @@
 void on_news(node_state& s, peer_state const& p, news const& e, effects& out)
 {
     news fresh;
+    for (auto const& it : e.endpoints)
+        learn_endpoint(s, it, out); // spreads what is new itself
     for (auto const& it : e.leaving)
         learn_leaving(s, it, out);
     for (auto const& it : e.vetoes)
@@ -241,10 +259,7 @@
                        s.settings.incarnation, s.settings.zone,
                        s.settings.caller_address, s.settings.hello_proof},
                  out);
-    send_to_peer(s, e.link,
-                 heartbeat{s.config.applied, static_cast<int>(s.calls.size()),
-                           s.leaving},
-                 out);
+    send_to_peer(s, e.link, own_heartbeat(s), out);
     send_to_peer(s, e.link, all_news(s), out);
 }
 
@@ -285,8 +300,7 @@
         return;
     s.heartbeat_at = s.now;
     self_entry(s);
-    heartbeat const beat{s.config.applied, static_cast<int>(s.calls.size()),
-                         s.leaving};
+    auto const beat = own_heartbeat(s);
     for (auto const& [link, p] : s.peers)
         if (!p.node.empty())
             send_to_peer(s, link, beat, out);
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -205,7 +205,7 @@
     if (m == nullptr)
         return it.version;
     auto const& schema = r.asked.schema_version;
-    bool const new_takes = has_endpoint(s, it.pool, m->spec.to, schema);
+    bool const new_takes = has_endpoint(s, pool_of(s, r), m->spec.to, schema);
     bool const first_offer = r.move.empty();
     r.move = m->spec.name;
     if (first_offer)
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -50,6 +50,9 @@
     if (s.log_reachable == e.reachable)
         return;
     s.log_reachable = e.reachable;
+    bool const first = s.log_back_at == time_point{} && s.config.applied == 0;
+    if (e.reachable && !first)
+        s.log_back_at = s.now;
     note(out, e.reachable ? events::log_back : events::log_lost, "log", "", "");
 }
 
@@ -74,10 +77,17 @@
 
 void end_when_idle(node_state& s, effects& out)
 {
+    if (!s.leaving)
+        return;
     bool const open = std::ranges::any_of(s.requests, [](auto const& it) {
         return it.second.phase != request_phase::done;
     });
-    if (s.leaving && !open && s.appends.empty() && s.once.batch.empty())
+    bool const callers_know =
+        s.now >= s.leaving_since + s.settings.accept_while_leaving;
+    bool const out_of_time = s.now >= s.leaving_since + s.settings.leave_within;
+    if (out_of_time)
+        out.push_back(exit_process{});
+    else if (callers_know && !open && s.appends.empty() && s.once.batch.empty())
         out.push_back(exit_process{});
 }
 
@@ -104,8 +114,11 @@
     write_checkpoint(s, out);
     send_heartbeats(s, out);
     forget_old_answers(s);
+    forget_endpoints(s);
+    tend_duties(s, out);
     drain_queues(s, out);
-    hand_over_requests(s, out);
+    if (s.settings.hands_over)
+        hand_over_requests(s, out);
     end_when_idle(s, out);
 }
 
@@ -133,6 +146,13 @@
             [&](endpoint_report const& it) { on_report(s, it, out); },
             [&](instance_list const& it) { on_instance_list(s, it, out); },
             [&](relay_ended const& it) { on_relay_ended(s, it); },
+            [&](config_published const& it) {
+                on_config_published(s, it, out);
+            },
+            [&](endpoint_listed const& it) { learn_endpoint(s, it.what, out); },
+            [&](duties_read const& it) { on_duties_read(s, it, out); },
+            [&](duty_append_done const& it) { on_duty_append(s, it); },
+            [&](usage_reported const& it) { on_usage_reported(s, it, out); },
             [&](shutdown_requested const&) { on_shutdown(s, out); },
             [&](tick const&) { on_tick(s, out); },
         },
--- /dev/null
+++ b/src/core/registry.cpp
@@ -0,0 +1,146 @@
+// What a registry outside says: the configuration as one document, and
+// endpoints one by one. Both are taken by offset, from whoever brings them.
+#include "core/internal.hpp"
+
+#include <algorithm>
+
+namespace papayahook::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// An endpoint that has ended is forgotten when no call of this node is open
+// there and no late entry can name it any more.
+constexpr auto forget_after = 30s;
+
+bool says_same(endpoint_entry const& a, endpoint_entry const& b)
+{
+    auto const key = [](endpoint_entry const& it) {
+        auto const& e = it.what;
+        return std::tie(it.present, it.draining, e.pool, e.address, e.zone,
+                        e.version, e.slots, e.incarnation, e.reclaimable);
+    };
+    return key(a) == key(b);
+}
+
+// While the registry is out of reach its entries may lapse for endpoints that
+// serve on; those that live are back soon after it answers again.
+time_point end_of_use(node_state const& s, endpoint_state const& known)
+{
+    auto const back = s.log_back_at + duration(s.settings.relist_grace);
+    bool const may_come_back = s.log_back_at != time_point{} && s.now < back;
+    return may_come_back && !known.entry.draining ? back : s.now;
+}
+
+void describe(node_state const& s, endpoint_entry const& e, effects& out)
+{
+    auto const* const word = !e.present   ? "dropped"
+                             : e.draining ? "draining"
+                                          : "ready";
+    note(out, events::endpoint_listed, e.name, e.what.address,
+         std::string(word) + ", offset " + std::to_string(e.at) + ", version " +
+             e.what.version + ", zone " + e.what.zone + ", pool " +
+             e.what.pool);
+}
+
+} // namespace
+
+std::string match_route(configuration const& c, std::string_view host,
+                        std::string_view path)
+{
+    auto const found = c.routes_by_host.find(std::string(host));
+    if (found == c.routes_by_host.end())
+        return {};
+    // Sorted by falling length of the prefix.
+    auto const it = std::ranges::find_if(found->second, [&](auto const& name) {
+        return path.starts_with(c.routes.at(name).value.path_prefix);
+    });
+    return it == found->second.end() ? std::string{} : *it;
+}
+
+void index_routes(configuration& c)
+{
+    c.routes_by_host.clear();
+    for (auto const& [name, it] : c.routes)
+        if (!it.value.host.empty())
+            c.routes_by_host[it.value.host].push_back(name);
+    for (auto& [host, names] : c.routes_by_host)
+        std::ranges::stable_sort(names, std::greater{}, [&](auto const& name) {
+            return c.routes.at(name).value.path_prefix.size();
+        });
+}
+
+void on_config_published(node_state& s, config_published const& e, effects& out)
+{
+    on_snapshot(s, e.what, out);
+}
+
+bool learn_endpoint(node_state& s, endpoint_entry const& e, effects& out)
+{
+    auto& known = s.endpoints[e.name];
+    if (e.at <= known.entry.at)
+        return false;
+    bool const changed = known.entry.at == 0 || !says_same(known.entry, e);
+    bool const reborn = e.present && known.entry.at != 0 &&
+                        e.what.incarnation != known.entry.what.incarnation;
+    if (reborn) {
+        auto const calls = known.in_flight;
+        known = {};
+        known.in_flight = calls;
+    }
+    // A dropped entry has no fields; what was known of it explains it.
+    auto const before = known.entry;
+    known.entry = e;
+    if (!e.present) {
+        known.entry.what = before.what;
+        known.entry.draining = before.draining;
+        known.gone_at = end_of_use(s, known);
+    }
+    else {
+        known.gone_at = {};
+        auto& it = s.config.endpoints[e.name];
+        it.value = e.what;
+        it.revision = e.at;
+    }
+    if (!changed)
+        return false;
+    describe(s, known.entry, out);
+    news item;
+    item.endpoints.push_back(e);
+    spread(s, item, 0, out);
+    drain_queues(s, out);
+    return true;
+}
+
+bool is_out_of_use(node_state const& s, endpoint_state const& known)
+{
+    if (known.entry.at == 0)
+        return false; // configured, not listed
+    bool const dropped = !known.entry.present && known.gone_at <= s.now;
+    return dropped || known.entry.draining;
+}
+
+void forget_endpoints(node_state& s)
+{
+    std::erase_if(s.endpoints, [&](auto const& it) {
+        auto const& [name, known] = it;
+        bool const over = known.entry.at != 0 && !known.entry.present &&
+                          known.in_flight == 0 &&
+                          known.gone_at + forget_after <= s.now;
+        if (over)
+            s.config.endpoints.erase(name);
+        return over;
+    });
+}
+
+std::vector<endpoint_entry> all_entries(node_state const& s)
+{
+    std::vector<endpoint_entry> out;
+    for (auto const& [name, known] : s.endpoints)
+        if (known.entry.at != 0)
+            out.push_back(known.entry);
+    return out;
+}
+
+} // namespace papayahook::core
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace papayahook::core {
 
@@ -68,7 +69,10 @@
             return !e.prefixes.contains(it);
         });
     auto const blocks = std::distance(asked.prefix_blocks.begin(), miss);
-    return static_cast<int>(blocks) * prefix_block_tokens;
+    if (asked.block_tokens.empty())
+        return static_cast<int>(blocks) * prefix_block_tokens;
+    return std::accumulate(asked.block_tokens.begin(),
+                           asked.block_tokens.begin() + blocks, 0);
 }
 
 bool takes_schema(endpoint const& e, std::string const& schema)
@@ -130,6 +134,9 @@
 #if PAPAYAHOOK_MUTATION_KEEP_LEAVING
     return false;
 #endif
+    auto const known = s.endpoints.find(e.name);
+    if (known != s.endpoints.end() && is_out_of_use(s, known->second))
+        return true;
     return s.known_leaving.contains({e.name, e.incarnation});
 }
 
@@ -144,14 +151,14 @@
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version)
 {
-    auto const& it = s.config.routes.at(r.asked.route).value;
-    auto const pool = load_of_pool(s, it.pool);
+    auto const wanted = pool_of(s, r);
+    auto const pool = load_of_pool(s, wanted);
     std::string best;
     bool best_untried = false;
     double best_cost = std::numeric_limits<double>::max();
     for (auto const& [name, rec] : s.config.endpoints) {
         auto const& e = rec.value;
-        if (!serves(s, e, it.pool, version, r.asked.schema_version))
+        if (!serves(s, e, wanted, version, r.asked.schema_version))
             continue;
         auto const& known = s.endpoints[name];
         auto const load = estimate_load(s, e, known, pool);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -9,9 +9,16 @@
 
 using namespace std::chrono_literals;
 
+std::string milliseconds_text(duration it)
+{
+    return std::to_string(
+               std::chrono::duration_cast<std::chrono::milliseconds>(it)
+                   .count()) +
+           " ms";
+}
+
 constexpr int failures_before_pause = 3;
 constexpr std::size_t max_early_chunks = 4096;
-constexpr double retry_bucket = 20; // retries that may come at once
 
 void close_call(node_state& s, request_state& r)
 {
@@ -37,7 +44,8 @@
         return;
     if (!r.head_sent) {
         r.head_sent = true;
-        out.push_back(send_head{r.asked.id, r.status, r.content_type});
+        out.push_back(
+            send_head{r.asked.id, r.status, r.content_type, r.headers});
     }
     for (; r.sent < r.chunks.size(); ++r.sent) {
         auto& data = r.chunks[r.sent];
@@ -64,6 +72,11 @@
     push_out(s, r, out);
     if (r.caller_present)
         out.push_back(finish_answer{r.asked.id});
+    note(out, events::request_answered, r.asked.id, r.endpoint,
+         "status " + std::to_string(r.status) + ", " +
+             std::to_string(r.chunks.size()) + " chunks, after " +
+             milliseconds_text(s.now - r.arrived) + ", calls " +
+             std::to_string(r.attempts));
     count_answer(s, r, r.status >= 500);
     s.endpoints[r.endpoint].failures = 0;
     s.counts.answered++;
@@ -72,10 +85,15 @@
     drain_queues(s, out);
 }
 
+double& retry_tokens(node_state& s, request_state const& r)
+{
+    return s.retry_tokens.try_emplace(pool_of(s, r), s.settings.retry_burst)
+        .first->second;
+}
+
 bool take_retry_token(node_state& s, request_state const& r)
 {
-    auto& tokens =
-        s.retry_tokens.try_emplace(r.asked.route, retry_bucket).first->second;
+    auto& tokens = retry_tokens(s, r);
     if (tokens < 1)
         return false;
     tokens -= 1;
@@ -85,7 +103,12 @@
 // A further dispatch is allowed where it cannot run the request twice.
 bool may_call_again(node_state const& s, request_state const& r)
 {
-    if (r.attempts >= s.settings.max_attempts)
+    auto const it = s.config.routes.find(r.asked.route);
+    int const most =
+        it == s.config.routes.end() || it->second.value.max_attempts == 0
+            ? s.settings.max_attempts
+            : it->second.value.max_attempts;
+    if (r.attempts >= most)
         return false;
 #if PAPAYAHOOK_MUTATION_RETRY_ANYTHING
     return true;
@@ -185,9 +208,9 @@
     s.counts.dispatches++;
     count_dispatch(s, r);
     if (first) {
-        auto& tokens = s.retry_tokens.try_emplace(r.asked.route, retry_bucket)
-                           .first->second;
-        tokens = std::min(retry_bucket, tokens + s.settings.retry_budget);
+        auto& tokens = retry_tokens(s, r);
+        tokens =
+            std::min(s.settings.retry_burst, tokens + s.settings.retry_budget);
     }
     if (!r.chunks.empty()) {
         s.counts.resumed_streams++;
@@ -202,6 +225,14 @@
     it.address = e.address;
     it.kind = e.kind;
     it.version = version;
+    it.incarnation = e.incarnation;
+    it.organisation = r.organisation;
+    it.klass = r.klass;
+    note(out, events::request_sent, r.asked.id, endpoint,
+         "attempt " + std::to_string(r.attempts) + ", route " + r.asked.route +
+             ", organisation " + r.organisation + ", version " + version +
+             ", configuration " + std::to_string(s.config.applied) +
+             ", waited " + milliseconds_text(s.now - r.arrived));
     if (e.kind == endpoint_kind::model_runner)
         it.resume_chunks = r.chunks;
     // HTTP libraries send a request again by themselves when an idle
@@ -223,7 +254,9 @@
             s,
             {r->endpoint, s.config.endpoints.at(r->endpoint).value.incarnation},
             out);
-    bool const broken = e.status >= 500 && r->repeatable;
+    // The endpoint's own failure is the answer where no other call is left.
+    bool const broken = e.status >= 500 && r->repeatable &&
+                        may_call_again(s, *r) && retry_tokens(s, *r) >= 1;
     if (e.not_run || broken) {
         auto const call = e.call;
         out.push_back(cancel_call{call});
@@ -234,6 +267,7 @@
     if (!r->head_sent) {
         r->status = e.status;
         r->content_type = e.content_type;
+        r->headers = e.headers;
     }
 }
 
@@ -258,6 +292,7 @@
         r->slow = is_slow(s, *r, s.now - r->call_started);
         note_first_token(s, *r, s.now - r->call_started);
         judge_first_token(s, *r, s.now - r->call_started);
+        count_usage(s, r->organisation);
     }
     r->chunks.push_back(e.data);
     auto it = r->early.find(r->chunks.size());
@@ -312,6 +347,9 @@
     }
     if (r->call != 0)
         out.push_back(cancel_call{r->call});
+    note(out, events::caller_left, e.id, r->endpoint,
+         "after " + milliseconds_text(s.now - r->arrived) + ", " +
+             std::to_string(r->sent) + " chunks sent");
     // What is held is no whole answer: one who asks again must learn that.
     r->failure = refusal{410,
                          outcome::outcome_unknown,
--- a/src/runtime/admin.cpp
+++ b/src/runtime/admin.cpp
@@ -27,7 +27,7 @@
     auto const& peers = n.state.peers;
     bool const linked = std::ranges::any_of(
         peers, [](auto const& it) { return !it.second.node.empty(); });
-    auto const age = std::chrono::steady_clock::now() - n.steady_at_start;
+    auto const age = time_since_boot() - n.boot_at_start;
     return linked || n.set.peers.empty() || age >= longest_wait_for_peers;
 }
 
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -258,7 +258,9 @@
                     {"X-Request-Id", id}};
     if (why.retry_after.count() > 0)
         out.emplace_back("Retry-After",
-                         std::to_string(why.retry_after.count()));
+                         std::to_string(std::chrono::ceil<std::chrono::seconds>(
+                                            why.retry_after)
+                                            .count()));
     return out;
 }
 
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -1,409 +1,626 @@
+// Why not a ready-made client: on a reused connection that dies without an
+// answer libcurl sends a request again by itself, and no client tells bytes
+// that came before a request was sent from the answer to it.
 #include "runtime/http_client.hpp"
 
+#include <algorithm>
+#include <array>
+#include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <curl/curl.h>
+#include <asio/write.hpp>
+#include <charconv>
+#include <http_parser.h>
+#include <list>
 #include <map>
-#include <unistd.h>
+#include <netinet/tcp.h>
 
 namespace papayahook::runtime {
 
 namespace {
 
-constexpr long max_idle_connections = 2048;
-constexpr long receive_buffer_bytes = 16 * 1024;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
 
-// Reports libcurl's codes through std::error_code.
-class curl_category_type final : public std::error_category
+constexpr std::size_t receive_buffer_bytes = 8 * 1024;
+constexpr std::size_t max_idle_per_peer = 64;
+// Idle connections are closed before the servers do it, most of which keep
+// theirs for at least a few seconds; a Keep-Alive header may say less.
+constexpr auto idle_limit = 4s;
+constexpr auto keep_alive_margin = 500ms;
+constexpr unsigned unacknowledged_ms = 4'000; // then a connection is lost
+
+enum class fault
+{
+    not_an_answer = 1,
+    cut_short,
+    timed_out,
+    unasked_bytes,
+    other_call,
+    bad_url,
+};
+
+class fault_category_type final : public std::error_category
 {
 public:
-    char const* name() const noexcept override { return "curl"; }
+    char const* name() const noexcept override { return "http"; }
     std::string message(int code) const override
     {
-        return curl_easy_strerror(static_cast<CURLcode>(code));
+        switch (static_cast<fault>(code)) {
+        case fault::not_an_answer:
+            return "the bytes received are no HTTP answer";
+        case fault::cut_short:
+            return "the connection ended before the answer did";
+        case fault::timed_out:
+            return "no answer in time";
+        case fault::unasked_bytes:
+            return "bytes came that no request had asked for";
+        case fault::other_call:
+            return "the answer belongs to another request";
+        case fault::bad_url:
+            return "http://ip:port/path is expected";
+        }
+        return "unknown";
     }
 };
 
-std::error_code curl_error(CURLcode code)
+std::error_code make_error(fault it)
 {
-    static curl_category_type const category;
-    return {static_cast<int>(code), category};
+    static fault_category_type const category;
+    return {static_cast<int>(it), category};
+}
+
+struct target
+{
+    tcp::endpoint address;
+    std::string authority;
+    std::string path;
+};
+
+std::optional<target> parse_url(std::string_view url)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!url.starts_with(scheme))
+        return std::nullopt;
+    url.remove_prefix(scheme.size());
+    auto const slash = std::min(url.find('/'), url.size());
+    auto const authority = url.substr(0, slash);
+    auto const colon = authority.rfind(':');
+    if (colon == authority.npos)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    auto const digits = authority.substr(colon + 1);
+    auto const [end, failed] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    std::error_code ec;
+    auto const ip =
+        asio::ip::make_address(std::string(authority.substr(0, colon)), ec);
+    if (failed != std::errc{} || end != digits.data() + digits.size() || ec)
+        return std::nullopt;
+    auto path = std::string(url.substr(slash));
+    return target{{ip, port},
+                  std::string(authority),
+                  path.empty() ? std::string("/") : std::move(path)};
+}
+
+std::string wire_of(http_call const& call, target const& to)
+{
+    std::string out = call.method + " " + to.path + " HTTP/1.1\r\n";
+    if (header_value(call.headers, "Host").data() == nullptr)
+        out += "Host: " + to.authority + "\r\n";
+    for (auto const& [name, value] : call.headers)
+        out += name + ": " + value + "\r\n";
+    bool const sized = !call.body.empty() || call.method == "POST" ||
+                       call.method == "PUT" || call.method == "PATCH";
+    if (sized)
+        out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+    return out + "\r\n" + call.body;
 }
 
 struct transfer
 {
     std::uint64_t id = 0;
     http_call call;
-    CURL* easy = nullptr;
-    curl_slist* header_lines = nullptr;
-    header_list headers; // of the answer
+    std::string wire;
     int status = 0;
-    bool head_reported = false;
+    bool sent_any = false;
     bool paused = false;
-    bool cancelled = false; // reports nothing any more
+};
+
+} // namespace
+
+namespace {
 
-    ~transfer()
+struct connection;
+using connection_ptr = std::shared_ptr<connection>;
+using clock = std::chrono::steady_clock;
+
+} // namespace
+
+struct http_client::impl : std::enable_shared_from_this<impl>
+{
+    explicit impl(asio::io_context& it) : io(it) {}
+
+    asio::io_context& io;
+    std::map<std::uint64_t, connection_ptr> open; // by transfer
+    std::map<std::string, std::list<connection_ptr>> idle;
+    std::uint64_t next_id = 1;
+    std::uint64_t opened = 0;
+};
+
+namespace {
+
+using client_ptr = std::shared_ptr<http_client::impl>;
+
+// A connection and the call that has it. All reads go on while it is idle, so
+// that its end, or bytes that nobody asked for, are seen before the next use.
+struct connection : std::enable_shared_from_this<connection>
+{
+    connection(client_ptr it, std::string k)
+        : client(std::move(it)), key(std::move(k)), socket(client->io),
+          timer(client->io)
     {
-        curl_slist_free_all(header_lines);
-        curl_easy_cleanup(easy);
+        parser.data = this;
     }
+
+    client_ptr client; // reset when closed
+    std::string key;
+    tcp::socket socket;
+    asio::steady_timer timer;
+    http_parser parser{};
+    std::array<char, receive_buffer_bytes> buf{};
+    std::unique_ptr<transfer> call; // empty while idle
+    header_list headers;
+    bool value_last = false; // of the header that came last
+    bool connected = false;
+    bool reading = false;
+    bool writing = false;
+    bool complete = false; // the answer has ended
+    bool in_parser = false;
+    bool head_seen = false;
+    clock::time_point usable_until{};
 };
 
-void report_head(transfer& t)
+void close(connection& c)
 {
-    if (t.head_reported)
+    if (!c.client)
         return;
-    t.head_reported = true;
-    if (t.call.on_head && !t.cancelled)
-        t.call.on_head(t.status, t.headers);
-}
-
-std::size_t on_header(char* data, std::size_t size, std::size_t n, void* user)
-{
-    auto& t = *static_cast<transfer*>(user);
-    std::string_view line(data, size * n);
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
-        line.remove_suffix(1);
-    if (line.starts_with("HTTP/")) {
-        long status = 0;
-        curl_easy_getinfo(t.easy, CURLINFO_RESPONSE_CODE, &status);
-        t.status = static_cast<int>(status);
-        t.headers.clear();
-    }
-    else if (auto const colon = line.find(':'); colon != line.npos) {
-        auto value = line.substr(colon + 1);
-        value.remove_prefix(
-            std::min(value.find_first_not_of(' '), value.size()));
-        t.headers.emplace_back(line.substr(0, colon), value);
+    auto const client = std::move(c.client);
+    c.client.reset();
+    if (c.call)
+        client->open.erase(c.call->id);
+    auto const it = client->idle.find(c.key);
+    if (it != client->idle.end()) {
+        std::erase_if(it->second, [&](auto const& n) { return n.get() == &c; });
+        if (it->second.empty())
+            client->idle.erase(it);
     }
-    else if (line.empty() && t.status >= 200) {
-        report_head(t);
-    }
-    return size * n;
+    std::error_code ec; // nothing is left to be done about either
+    c.timer.cancel(ec);
+    c.socket.close(ec);
 }
 
-std::size_t on_body(char* data, std::size_t size, std::size_t n, void* user)
+void fail(connection_ptr const& c, std::error_code ec, std::string step)
 {
-    auto& t = *static_cast<transfer*>(user);
-    if (t.paused)
-        return CURL_WRITEFUNC_PAUSE;
-    report_head(t);
-    if (t.call.on_data && !t.cancelled)
-        t.call.on_data({data, size * n});
-    return size * n;
+    if (!c->client)
+        return;
+    auto const t = std::move(c->call);
+    if (t)
+        c->client->open.erase(t->id);
+    close(*c);
+    if (!t || !t->call.on_done)
+        return;
+    http_result out;
+    out.error = ec;
+    out.step = std::move(step);
+    out.status = t->status;
+    out.may_have_run = t->sent_any;
+    t->call.on_done(out);
 }
 
-std::string step_of(CURLcode code, transfer const& t)
+void read_more(connection_ptr const& c);
+
+void keep_idle(connection_ptr const& c)
 {
-    if (code == CURLE_COULDNT_CONNECT)
-        return "connect";
-    if (code == CURLE_OPERATION_TIMEDOUT)
-        return t.status == 0 ? "timeout" : "receive";
-    if (code == CURLE_SEND_ERROR)
-        return "send";
-    return "receive";
+    auto& list = c->client->idle[c->key];
+    if (list.size() >= max_idle_per_peer) {
+        close(*c);
+        return;
+    }
+    list.push_front(c);
+    c->timer.expires_at(c->usable_until);
+    c->timer.async_wait([c](auto ec) {
+        if (!ec && c->client && !c->call)
+            close(*c);
+    });
+    read_more(c);
 }
 
-// A connection that was never established cannot have carried a byte.
-bool may_have_run(CURL* easy, CURLcode code)
+clock::duration idle_time(header_list const& headers)
 {
-    if (code == CURLE_OK)
-        return true;
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT)
-        return false;
-    curl_off_t connected = 0;
-    long sent = 0;
-    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
-    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-    return connected != 0 || sent != 0;
+    constexpr std::string_view field = "timeout=";
+    auto const text = header_value(headers, "Keep-Alive");
+    auto const at = text.find(field);
+    if (at == text.npos)
+        return idle_limit;
+    int seconds = 0;
+    auto const from = text.data() + at + field.size();
+    std::from_chars(from, text.data() + text.size(), seconds);
+    auto const said = std::chrono::milliseconds(std::chrono::seconds(seconds)) -
+                      keep_alive_margin;
+    return std::clamp<clock::duration>(said, 0ms, idle_limit);
 }
 
-void configure(transfer& t)
+// The answer is whole. A server may answer before it has read the request's
+// body and read on: the connection is free only when all of that is written.
+void finish(connection_ptr const& c)
 {
-    t.easy = curl_easy_init();
-    auto const set = [&](CURLoption option, auto value) {
-        curl_easy_setopt(t.easy, option, value);
-    };
-    set(CURLOPT_URL, t.call.url.c_str());
-    set(CURLOPT_PRIVATE, &t);
-    set(CURLOPT_NOSIGNAL, 1L);
-    set(CURLOPT_TCP_NODELAY, 1L);
-    set(CURLOPT_BUFFERSIZE, receive_buffer_bytes);
-    set(CURLOPT_HEADERFUNCTION, &on_header);
-    set(CURLOPT_HEADERDATA, &t);
-    set(CURLOPT_WRITEFUNCTION, &on_body);
-    set(CURLOPT_WRITEDATA, &t);
-    set(CURLOPT_CONNECTTIMEOUT_MS,
-        static_cast<long>(t.call.connect_timeout.count()));
-    set(CURLOPT_TIMEOUT_MS, static_cast<long>(t.call.total_timeout.count()));
-    set(CURLOPT_FRESH_CONNECT, t.call.fresh_connection ? 1L : 0L);
-    set(CURLOPT_CUSTOMREQUEST, t.call.method.c_str());
-    bool const has_body = !t.call.body.empty() || t.call.method == "POST" ||
-                          t.call.method == "PUT";
-    if (has_body) {
-        set(CURLOPT_POSTFIELDSIZE_LARGE,
-            static_cast<curl_off_t>(t.call.body.size()));
-        set(CURLOPT_POSTFIELDS, t.call.body.data());
-        // Without this libcurl waits for "100 Continue" on large bodies.
-        t.header_lines = curl_slist_append(t.header_lines, "Expect:");
-    }
-    for (auto const& [name, value] : t.call.headers) {
-        std::string line = name;
-        line += ": ";
-        line += value;
-        t.header_lines = curl_slist_append(t.header_lines, line.c_str());
-    }
-    set(CURLOPT_HTTPHEADER, t.header_lines);
+    if (c->writing || !c->complete || !c->call || !c->client)
+        return;
+    bool const keep = http_should_keep_alive(&c->parser) != 0;
+    auto const t = std::move(c->call);
+    c->client->open.erase(t->id);
+    c->timer.cancel();
+    c->usable_until = clock::now() + idle_time(c->headers);
+    if (keep && c->usable_until > clock::now())
+        keep_idle(c);
+    else
+        close(*c);
 }
 
-struct curl_global
+void report_done(connection_ptr const& c)
 {
-    curl_global() { curl_global_init(CURL_GLOBAL_DEFAULT); }
-};
+    c->complete = true;
+    auto const done = std::move(c->call->call.on_done);
+    c->call->call.on_done = nullptr;
+    http_result out;
+    out.status = c->call->status;
+    out.may_have_run = true;
+    finish(c);
+    if (done)
+        done(out);
+}
 
-} // namespace
+connection& of(http_parser* p)
+{
+    return *static_cast<connection*>(p->data);
+}
 
-struct http_client::impl
+int on_field(http_parser* p, char const* at, std::size_t n)
 {
-    struct watched
-    {
-        asio::posix::stream_descriptor descriptor;
-        int wanted = 0; // CURL_POLL_*
-        bool reading = false;
-        bool writing = false;
-    };
+    auto& c = of(p);
+    if (c.value_last || c.headers.empty())
+        c.headers.emplace_back();
+    c.value_last = false;
+    c.headers.back().first.append(at, n);
+    return 0;
+}
 
-    asio::io_context& io;
-    CURLM* multi = nullptr;
-    asio::steady_timer timer;
-    std::uint64_t next_id = 1;
-    bool inside_curl = false; // libcurl refuses calls from its callbacks
-    std::map<std::uint64_t, std::unique_ptr<transfer>> transfers;
-    std::map<int, std::shared_ptr<watched>> sockets;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+int on_value(http_parser* p, char const* at, std::size_t n)
+{
+    auto& c = of(p);
+    c.value_last = true;
+    c.headers.back().second.append(at, n);
+    return 0;
+}
 
-    explicit impl(asio::io_context& ctx) : io(ctx), timer(ctx)
-    {
-        static curl_global const once;
-        multi = curl_multi_init();
-        auto const set = [&](CURLMoption option, auto value) {
-            curl_multi_setopt(multi, option, value);
-        };
-        set(CURLMOPT_SOCKETFUNCTION, &impl::on_socket);
-        set(CURLMOPT_SOCKETDATA, this);
-        set(CURLMOPT_TIMERFUNCTION, &impl::on_timer);
-        set(CURLMOPT_TIMERDATA, this);
-        set(CURLMOPT_MAXCONNECTS, max_idle_connections);
-    }
+int on_headers_complete(http_parser* p)
+{
+    constexpr int final_status = 200;
+    auto& c = of(p);
+    auto const status = static_cast<int>(p->status_code);
+    if (!c.call || status < final_status)
+        return 0;
+    auto& call = c.call->call;
+    if (call.echo && header_value(c.headers, call.echo->first) !=
+                         std::string_view(call.echo->second))
+        return -1;
+    c.head_seen = true;
+    c.call->status = status;
+    bool const no_body = call.method == "HEAD";
+    if (call.on_head)
+        call.on_head(status, c.headers);
+    return no_body ? 1 : 0;
+}
 
-    ~impl()
-    {
-        *alive = false;
-        for (auto& [id, t] : transfers)
-            curl_multi_remove_handle(multi, t->easy);
-        transfers.clear();
-        curl_multi_cleanup(multi);
-        for (auto& [fd, it] : sockets)
-            it->descriptor.release();
-    }
+int on_body(http_parser* p, char const* at, std::size_t n)
+{
+    auto& c = of(p);
+    if (!c.call)
+        return -1; // cancelled by its own callback
+    if (c.call->call.on_data)
+        c.call->call.on_data({at, n});
+    return c.call ? 0 : -1;
+}
 
-    static int on_socket(CURL*, curl_socket_t fd, int what, void* user, void*)
-    {
-        auto& self = *static_cast<impl*>(user);
-        auto it = self.sockets.find(fd);
-        if (what == CURL_POLL_REMOVE) {
-            if (it == self.sockets.end())
-                return 0;
-            it->second->wanted = 0;
-            it->second->descriptor.release(); // libcurl closes it
-            self.sockets.erase(it);
-            return 0;
-        }
-        if (it == self.sockets.end()) {
-            auto entry = std::make_shared<watched>(
-                watched{asio::posix::stream_descriptor(self.io, fd)});
-            it = self.sockets.emplace(fd, std::move(entry)).first;
-        }
-        it->second->wanted = what;
-        self.watch(fd, it->second);
+int on_complete(http_parser* p)
+{
+    constexpr int final_status = 200;
+    auto& c = of(p);
+    if (static_cast<int>(p->status_code) < final_status) {
+        c.headers.clear();
+        c.value_last = false;
         return 0;
     }
+    c.complete = true;
+    http_parser_pause(p, 1);
+    return 0;
+}
 
-    static int on_timer(CURLM*, long timeout_ms, void* user)
-    {
-        auto& self = *static_cast<impl*>(user);
-        self.timer.cancel();
-        if (timeout_ms < 0)
-            return 0;
-        self.timer.expires_after(std::chrono::milliseconds(timeout_ms));
-        self.timer.async_wait([&self, alive = self.alive](auto ec) {
-            if (!ec && *alive)
-                self.act(CURL_SOCKET_TIMEOUT, 0);
-        });
-        return 0;
-    }
+http_parser_settings const& callbacks()
+{
+    static http_parser_settings const out = [] {
+        http_parser_settings it;
+        http_parser_settings_init(&it);
+        it.on_header_field = on_field;
+        it.on_header_value = on_value;
+        it.on_headers_complete = on_headers_complete;
+        it.on_body = on_body;
+        it.on_message_complete = on_complete;
+        return it;
+    }();
+    return out;
+}
 
-    void watch(int fd, std::shared_ptr<watched> const& it)
-    {
-        using wait_type = asio::posix::stream_descriptor::wait_type;
-        bool const read = it->wanted & CURL_POLL_IN;
-        bool const write = it->wanted & CURL_POLL_OUT;
-        if (read && !it->reading) {
-            it->reading = true;
-            it->descriptor.async_wait(wait_type::wait_read,
-                                      [this, fd, it, a = alive](auto ec) {
-                                          it->reading = false;
-                                          ready(fd, it, a, ec, CURL_CSELECT_IN);
-                                      });
-        }
-        if (write && !it->writing) {
-            it->writing = true;
-            it->descriptor.async_wait(
-                wait_type::wait_write, [this, fd, it, a = alive](auto ec) {
-                    it->writing = false;
-                    ready(fd, it, a, ec, CURL_CSELECT_OUT);
-                });
-        }
+void on_bytes(connection_ptr const& c, std::size_t n)
+{
+    if (!c->call) {
+        close(*c); // bytes on an idle connection: late or doubled answers
+        return;
     }
-
-    void ready(int fd, std::shared_ptr<watched> const& it,
-               std::shared_ptr<bool> const& still_alive, std::error_code ec,
-               int action)
-    {
-        if (!*still_alive || ec == asio::error::operation_aborted)
-            return;
-        auto const found = sockets.find(fd);
-        if (found == sockets.end() || found->second != it)
-            return;
-        bool const wanted = action == CURL_CSELECT_IN
-                                ? (it->wanted & CURL_POLL_IN) != 0
-                                : (it->wanted & CURL_POLL_OUT) != 0;
-        if (!wanted)
-            return;
-        act(fd, ec ? CURL_CSELECT_ERR : action);
-        auto const again = sockets.find(fd);
-        if (again != sockets.end() && again->second == it)
-            watch(fd, it);
+    if (c->complete) {
+        fail(c, make_error(fault::unasked_bytes), "receive");
+        return;
     }
-
-    void act(curl_socket_t fd, int action)
-    {
-        int running = 0;
-        inside_curl = true;
-        curl_multi_socket_action(multi, fd, action, &running);
-        inside_curl = false;
-        collect();
+    c->in_parser = true;
+    auto const used =
+        http_parser_execute(&c->parser, &callbacks(), c->buf.data(), n);
+    c->in_parser = false;
+    if (!c->client || !c->call)
+        return; // cancelled meanwhile
+    auto const error = HTTP_PARSER_ERRNO(&c->parser);
+    bool const is_other = error == HPE_CB_headers_complete;
+    if (c->complete) {
+        http_parser_pause(&c->parser, 0);
+        bool const extra = used != n;
+        if (extra)
+            c->parser.flags |= F_CONNECTION_CLOSE;
+        auto const keep = c;
+        report_done(keep);
+        if (extra)
+            close(*keep);
+        else if (keep->client && keep->call)
+            read_more(keep); // the rest of the request is still being written
+        return;
+    }
+    if (error != HPE_OK) {
+        fail(c, make_error(is_other ? fault::other_call : fault::not_an_answer),
+             "receive");
+        return;
     }
+    read_more(c);
+}
 
-    void collect()
-    {
-        int left = 0;
-        while (auto* msg = curl_multi_info_read(multi, &left)) {
-            if (msg->msg != CURLMSG_DONE)
-                continue;
-            auto const code = msg->data.result;
-            void* user = nullptr;
-            curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &user);
-            finish(static_cast<transfer*>(user)->id, code);
+void on_end(connection_ptr const& c, std::error_code ec)
+{
+    if (c->call && !c->complete && ec == asio::error::eof && c->head_seen) {
+        // An answer without a length ends with its connection.
+        http_parser_execute(&c->parser, &callbacks(), nullptr, 0);
+        if (c->complete && c->call && c->client) {
+            c->parser.flags |= F_CONNECTION_CLOSE;
+            auto const keep = c;
+            report_done(keep);
+            close(*keep);
+            return;
         }
     }
+    if (c->call && !c->complete)
+        fail(c, ec == asio::error::eof ? make_error(fault::cut_short) : ec,
+             "receive");
+    else
+        close(*c);
+}
 
-    void add(std::uint64_t id)
-    {
-        auto const it = transfers.find(id);
-        if (it != transfers.end() && !it->second->cancelled)
-            curl_multi_add_handle(multi, it->second->easy);
-    }
+void read_more(connection_ptr const& c)
+{
+    if (c->reading || !c->client || (c->call && c->call->paused))
+        return;
+    c->reading = true;
+    c->socket.async_read_some(asio::buffer(c->buf),
+                              [c](auto ec, std::size_t n) {
+                                  c->reading = false;
+                                  if (!c->client)
+                                      return;
+                                  if (ec)
+                                      on_end(c, ec);
+                                  else
+                                      on_bytes(c, n);
+                              });
+}
 
-    void remove(std::uint64_t id)
-    {
-        auto const node = transfers.extract(id);
-        if (!node.empty())
-            curl_multi_remove_handle(multi, node.mapped()->easy);
+void send(connection_ptr const& c)
+{
+    http_parser_init(&c->parser, HTTP_RESPONSE);
+    c->parser.data = c.get();
+    c->headers.clear();
+    c->value_last = false;
+    c->complete = false;
+    c->head_seen = false;
+    c->writing = true;
+    c->call->sent_any = true;
+    auto const wire = std::make_shared<std::string>(std::move(c->call->wire));
+    asio::async_write(c->socket, asio::buffer(*wire),
+                      [c, wire](auto ec, std::size_t) {
+                          c->writing = false;
+                          if (!c->client)
+                              return;
+                          if (!ec)
+                              finish(c);
+                          else if (c->complete)
+                              close(*c);
+                          // Else an answer may still be readable; the read
+                          // reports the end of the connection.
+                      });
+    read_more(c);
+}
+
+void limit_time(connection_ptr const& c, std::chrono::milliseconds left,
+                char const* step)
+{
+    c->timer.expires_after(left);
+    c->timer.async_wait([c, step](auto ec) {
+        if (!ec && c->client && c->call)
+            fail(c, make_error(fault::timed_out), step);
+    });
+}
+
+void set_options(tcp::socket& socket)
+{
+    std::error_code ec; // they help, nothing depends on them
+    socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+            unacknowledged_ms),
+        ec);
+}
+
+void on_connected(connection_ptr const& c, std::error_code ec)
+{
+    if (!c->client || !c->call)
+        return;
+    if (ec) {
+        fail(c, ec, "connect");
+        return;
     }
+    c->connected = true;
+    set_options(c->socket);
+    c->timer.cancel();
+    auto const total = c->call->call.total_timeout;
+    if (total > 0ms)
+        limit_time(c, total, "timeout");
+    send(c);
+}
 
-    void finish(std::uint64_t id, CURLcode code)
-    {
-        auto node = transfers.extract(id);
-        auto& t = *node.mapped();
-        http_result result;
-        result.status = t.status;
-        result.may_have_run = may_have_run(t.easy, code);
-        if (code != CURLE_OK) {
-            result.error = curl_error(code);
-            result.step = step_of(code, t);
-        }
-        else {
-            report_head(t);
+// The newest idle connection whose socket shows no sign of an end.
+connection_ptr take_idle(http_client::impl& client, std::string const& key)
+{
+    auto const it = client.idle.find(key);
+    if (it == client.idle.end())
+        return nullptr;
+    while (!it->second.empty()) {
+        auto c = it->second.front();
+        it->second.pop_front();
+        if (c->usable_until > clock::now()) {
+            if (it->second.empty())
+                client.idle.erase(it);
+            return c;
         }
-        curl_multi_remove_handle(multi, t.easy);
-        if (t.call.on_done && !t.cancelled)
-            t.call.on_done(result);
+        c->client.reset();
+        std::error_code ec;
+        c->timer.cancel(ec);
+        c->socket.close(ec);
     }
-};
+    client.idle.erase(it);
+    return nullptr;
+}
+
+} // namespace
 
 http_client::http_client(asio::io_context& io)
-    : impl_(std::make_unique<impl>(io))
+    : impl_(std::make_shared<impl>(io))
 {
 }
 
-http_client::~http_client() = default;
+http_client::~http_client()
+{
+    std::vector<connection_ptr> all;
+    for (auto const& [id, c] : impl_->open)
+        all.push_back(c);
+    for (auto const& [key, list] : impl_->idle)
+        all.insert(all.end(), list.begin(), list.end());
+    for (auto const& c : all)
+        close(*c);
+}
 
 std::uint64_t http_client::start(http_call call)
 {
-    auto t = std::make_unique<transfer>();
     auto const id = impl_->next_id++;
+    auto t = std::make_unique<transfer>();
     t->id = id;
     t->call = std::move(call);
-    configure(*t);
-    impl_->transfers.emplace(id, std::move(t));
-    if (!impl_->inside_curl) {
-        impl_->add(id);
+    auto const to = parse_url(t->call.url);
+    if (!to) {
+        asio::post(impl_->io, [done = std::move(t->call.on_done)] {
+            if (done)
+                done({make_error(fault::bad_url), "connect", 0, false});
+        });
         return id;
     }
-    asio::post(impl_->io, [this, id, alive = impl_->alive] {
-        if (*alive)
-            impl_->add(id);
-    });
+    t->wire = wire_of(t->call, *to);
+    auto const key = to->authority + "/" + t->call.peer;
+    auto c = t->call.fresh_connection ? nullptr : take_idle(*impl_, key);
+    if (c) {
+        c->timer.cancel();
+        c->call = std::move(t);
+        impl_->open[id] = c;
+        if (c->call->call.total_timeout > 0ms)
+            limit_time(c, c->call->call.total_timeout, "timeout");
+        send(c);
+        return id;
+    }
+    c = std::make_shared<connection>(impl_, key);
+    impl_->opened++;
+    c->call = std::move(t);
+    impl_->open[id] = c;
+    limit_time(c, c->call->call.connect_timeout, "connect");
+    c->socket.async_connect(to->address, [c](auto ec) { on_connected(c, ec); });
     return id;
 }
 
 void http_client::cancel(std::uint64_t id)
 {
-    auto const it = impl_->transfers.find(id);
-    if (it == impl_->transfers.end())
+    auto const it = impl_->open.find(id);
+    if (it == impl_->open.end())
         return;
-    // A cancel may come from one of the transfer's own callbacks: neither
-    // libcurl nor the callback would bear its removal now.
-    it->second->cancelled = true;
-    asio::post(impl_->io, [this, id, alive = impl_->alive] {
-        if (*alive)
-            impl_->remove(id);
-    });
+    auto const c = it->second;
+    impl_->open.erase(it);
+    // The parser may be in one of this call's callbacks.
+    asio::post(impl_->io,
+               [t = std::shared_ptr<transfer>(std::move(c->call))] {});
+    close(*c);
 }
 
 void http_client::pause(std::uint64_t id)
 {
-    auto const it = impl_->transfers.find(id);
-    if (it != impl_->transfers.end())
-        it->second->paused = true;
+    auto const it = impl_->open.find(id);
+    if (it != impl_->open.end())
+        it->second->call->paused = true;
 }
 
 void http_client::resume(std::uint64_t id)
 {
-    auto const it = impl_->transfers.find(id);
-    if (it == impl_->transfers.end() || !it->second->paused)
+    auto const it = impl_->open.find(id);
+    if (it == impl_->open.end())
         return;
-    it->second->paused = false;
-    asio::post(impl_->io, [this, id, alive = impl_->alive] {
-        if (!*alive)
-            return;
-        auto const found = impl_->transfers.find(id);
-        if (found != impl_->transfers.end())
-            curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
-    });
+    it->second->call->paused = false;
+    if (it->second->connected)
+        read_more(it->second);
+}
+
+void http_client::forget(std::string const& peer)
+{
+    std::vector<connection_ptr> gone;
+    for (auto const& [key, list] : impl_->idle)
+        if (key.ends_with("/" + peer))
+            gone.insert(gone.end(), list.begin(), list.end());
+    for (auto const& c : gone)
+        close(*c);
+}
+
+std::uint64_t http_client::connections_opened() const
+{
+    return impl_->opened;
 }
 
 http_answer fetch(http_call call)
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -1,8 +1,11 @@
-// HTTP calls by libcurl's multi interface, driven by an Asio loop of ours.
+// HTTP/1.1 calls on an Asio loop of ours. One request at a time on each
+// connection; nothing is ever sent a second time by this client.
 #pragma once
 
 #include "runtime/http_server.hpp"
 
+#include <optional>
+
 namespace papayahook::runtime {
 
 // What became of a call. may_have_run is false only where no byte of the
@@ -18,14 +21,15 @@
 struct http_call
 {
     std::string method = "GET";
-    std::string url;
+    std::string url; // "http://ip:port/path?query"; no names are looked up
     header_list headers;
     std::string body;
+    std::string peer; // calls share connections with the same address and peer
+    // An answer without this header and value belongs to another call.
+    std::optional<std::pair<std::string, std::string>> echo;
     std::chrono::milliseconds connect_timeout{1'000};
     std::chrono::milliseconds total_timeout{0}; // zero: none
-    // Do not reuse an idle connection. Pitfall: on a reused one that dies
-    // without an answer libcurl sends the request again by itself, POST too.
-    bool fresh_connection = false;
+    bool fresh_connection = false;              // do not reuse an idle one
     std::function<void(int status, header_list const&)> on_head;
     std::function<void(std::string_view)> on_data;
     std::function<void(http_result const&)> on_done; // exactly once
@@ -41,10 +45,14 @@
     void cancel(std::uint64_t id); // on_done is not called any more
     void pause(std::uint64_t id);  // stop reading: back-pressure
     void resume(std::uint64_t id);
+    // Closes the idle connections to a peer that has gone.
+    void forget(std::string const& peer);
+    std::uint64_t connections_opened() const;
 
-private:
     struct impl;
-    std::unique_ptr<impl> impl_;
+
+private:
+    std::shared_ptr<impl> impl_;
 };
 
 // Whole answer of a blocking call; for command-line programs and tests.
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -50,6 +50,8 @@
         auto response = request_->create_response(status_line(status));
         for (auto const& [name, value] : headers)
             response.append_header(name, value);
+        if (closes_)
+            response.connection_close();
         response.set_body(std::move(body));
         response.done();
     }
@@ -61,8 +63,12 @@
             status_line(status)));
         for (auto const& [name, value] : headers)
             stream_->append_header(name, value);
+        if (closes_)
+            stream_->connection_close();
     }
 
+    void close_after() override { closes_ = true; }
+
     void write(std::string data, written on_written) override
     {
         if (!stream_)
@@ -111,6 +117,7 @@
     restinio::request_handle_t request_;
     restinio::impl::connection_handle_t connection_; // while streaming
     std::optional<stream> stream_;
+    bool closes_ = false;
 };
 
 http_request convert(restinio::request_t const& in)
@@ -119,6 +126,7 @@
     out.method = in.header().method().c_str();
     out.path = std::string(in.header().path());
     out.query = std::string(in.header().query());
+    out.target = in.header().request_target();
     out.body = in.body();
     out.connection_id = in.connection_id();
     in.header().for_each_field([&](auto const& field) {
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -26,8 +26,9 @@
 struct http_request
 {
     std::string method;
-    std::string path;  // without the query
-    std::string query; // without the question mark
+    std::string path;   // without the query
+    std::string query;  // without the question mark
+    std::string target; // path and query as they were sent
     header_list headers;
     std::string body;
     std::uint64_t connection_id = 0; // see http_server_options::on_close
@@ -47,6 +48,8 @@
     virtual void write(std::string data, written on_written) = 0;
     virtual void finish() = 0;
     virtual void abort() = 0; // closes without the end mark
+    // The answer says that its connection closes; call it before the head.
+    virtual void close_after() = 0;
 };
 
 using responder_ptr = std::shared_ptr<http_responder>;
--- a/src/runtime/logging.cpp
+++ b/src/runtime/logging.cpp
@@ -2,13 +2,17 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <map>
 #include <memory>
+#include <poll.h>
+#include <unistd.h>
 
 namespace papayahook::runtime {
 
@@ -16,7 +20,24 @@
 
 constexpr char const* pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
 // Ordinary with many requests; shown at level "debug" only.
-constexpr std::array frequent{401, 402, 403, 604};
+constexpr std::array frequent{401, 402, 403, 407, 408, 409, 604};
+
+// Lines for standard output wait here and never hold up the loop. What does
+// not fit, or comes too often, is counted and left out.
+constexpr std::size_t most_waiting_bytes = 256 * 1024;
+constexpr int most_lines_a_second = 400; // of one event number
+constexpr std::size_t safe_write = 4096; // never blocks once poll() agrees
+
+struct line_buffer
+{
+    bool in_use = false;
+    std::string waiting;
+    std::map<int, int> lines;             // of this second, by event number
+    std::map<int, std::uint64_t> dropped; // not yet told, by event number
+    std::chrono::steady_clock::time_point second{};
+};
+
+line_buffer output;
 
 std::unique_ptr<log4cplus::Initializer> initializer;
 
@@ -37,10 +58,62 @@
     return out + "\"";
 }
 
+bool fits(int number, std::size_t bytes)
+{
+    auto const now = std::chrono::steady_clock::now();
+    if (now >= output.second + std::chrono::seconds(1)) {
+        output.second = now;
+        output.lines.clear();
+    }
+    bool const often = ++output.lines[number] > most_lines_a_second;
+    bool const full = output.waiting.size() + bytes > most_waiting_bytes;
+    if (often || full)
+        output.dropped[number]++;
+    return !often && !full;
+}
+
+void add_line(std::string const& line)
+{
+    auto const now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    output.waiting += std::to_string(now.count()) + " " + line + "\n";
+}
+
+void tell_dropped()
+{
+    for (auto const& [number, n] : output.dropped)
+        add_line("event=" + std::to_string(events::lines_dropped) +
+                 " subject=\"" + std::to_string(number) + "\" detail=\"" +
+                 std::to_string(n) + " lines left out\"");
+    output.dropped.clear();
+}
+
 } // namespace
 
+void flush_log()
+{
+    if (!output.in_use)
+        return;
+    if (output.waiting.size() < most_waiting_bytes / 2)
+        tell_dropped();
+    std::size_t done = 0;
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    while (done < output.waiting.size() && poll(&out, 1, 0) == 1) {
+        auto const n =
+            write(STDOUT_FILENO, output.waiting.data() + done,
+                  std::min(safe_write, output.waiting.size() - done));
+        if (n <= 0)
+            break;
+        done += static_cast<std::size_t>(n);
+    }
+    output.waiting.erase(0, done);
+}
+
 void start_logging(settings const& it)
 {
+    output.in_use = it.log_file == "-";
+    if (output.in_use)
+        return;
     initializer = std::make_unique<log4cplus::Initializer>();
     log4cplus::SharedAppenderPtr appender;
     if (it.log_file.empty())
@@ -59,6 +132,9 @@
 
 void stop_logging()
 {
+    flush_log();
+    if (output.in_use)
+        return;
     logger().removeAllAppenders();
     initializer.reset();
 }
@@ -71,6 +147,11 @@
         line += " peer=" + quoted(it.peer);
     if (!it.detail.empty())
         line += " detail=" + quoted(it.detail);
+    if (output.in_use) {
+        if (fits(it.number, line.size()))
+            add_line(line);
+        return;
+    }
     bool const often = std::ranges::find(frequent, it.number) != frequent.end();
     if (often)
         LOG4CPLUS_DEBUG(logger(), line);
--- a/src/runtime/logging.hpp
+++ b/src/runtime/logging.hpp
@@ -10,6 +10,12 @@
 namespace events {
 inline constexpr int node_started = 101;
 inline constexpr int node_stopped = 103;
+inline constexpr int lines_dropped = 104;
+inline constexpr int settings_reloaded = 105;
+inline constexpr int settings_kept = 106;
+inline constexpr int entry_skipped = 207;
+inline constexpr int store_failed = 305;
+inline constexpr int api_failed = 804;
 inline constexpr int bad_peer_message = 611;
 inline constexpr int peer_proof_wrong = 612;
 inline constexpr int log_answer_unreadable = 311;
@@ -17,6 +23,8 @@
 
 void start_logging(settings const& it);
 void stop_logging();
+// Hands over what waits for standard output, as far as that takes it now.
+void flush_log();
 
 // level: by the hundreds in docs/EVENTS.md; most are "info".
 void write_log(core::log_event const& it);
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -77,6 +77,11 @@
     });
 }
 
+// Duties and their stream belong to an adapter; without one, settings leave
+// them out.
+void perform(node&, core::append_duty const&) {}
+void perform(node&, core::report_usage const&) {}
+
 void perform(node& n, core::exit_process const&)
 {
     n.io.stop();
@@ -139,6 +144,7 @@
 {
     handle(n, core::tick{});
     forget_old_requests(n);
+    flush_log();
     n.ticker.expires_after(tick_period);
     n.ticker.async_wait([&n](auto ec) {
         if (!ec)
@@ -148,9 +154,15 @@
 
 void wait_for_signal(node& n)
 {
-    n.signals.async_wait([&n](auto ec, int) {
+    n.signals.async_wait([&n](auto ec, int number) {
         if (ec)
             return;
+        if (number == SIGHUP) {
+            if (n.outside)
+                n.outside->reload(n);
+            wait_for_signal(n);
+            return;
+        }
         if (++n.signals_seen > 1) {
             n.io.stop();
             return;
@@ -160,7 +172,7 @@
     });
 }
 
-void open_listeners(node& n)
+void open_own_interfaces(node& n)
 {
     http_server_options options;
     options.address = n.set.caller.ip;
@@ -185,6 +197,10 @@
         n.io, options, [&n](http_request const& in, responder_ptr const& out) {
             on_admin_request(n, in, out);
         });
+}
+
+void open_links(node& n)
+{
     link_handlers handlers;
     handlers.on_open = [&n](link_id it, bool) {
         handle(n, core::peer_opened{it});
@@ -202,10 +218,11 @@
 
 } // namespace
 
-node::node(settings it)
-    : set(std::move(it)), wall_at_start(std::chrono::system_clock::now()),
-      steady_at_start(std::chrono::steady_clock::now()), client(io),
-      signals(io, SIGTERM, SIGINT), ticker(io)
+node::node(settings it, std::unique_ptr<runtime::adapter> adapter)
+    : set(std::move(it)), outside(std::move(adapter)),
+      wall_at_start(std::chrono::system_clock::now()),
+      boot_at_start(time_since_boot()), client(io),
+      signals(io, SIGTERM, SIGINT, SIGHUP), ticker(io)
 {
     state.settings = set.core;
     state.settings.incarnation = static_cast<std::uint64_t>(
@@ -214,11 +231,20 @@
             .count());
 }
 
-// The wall clock of the start, moved on by the steady clock: a later step of
-// the wall clock moves no deadline.
+std::chrono::nanoseconds time_since_boot()
+{
+    timespec it{};
+    clock_gettime(CLOCK_BOOTTIME, &it); // cannot fail for this clock
+    return std::chrono::seconds(it.tv_sec) +
+           std::chrono::nanoseconds(it.tv_nsec);
+}
+
+// The wall clock of the start, moved on by the time since boot: a later step
+// of the wall clock moves no deadline, and a lease runs out for a machine
+// that was suspended.
 core::time_point now(node const& n)
 {
-    auto const run = std::chrono::steady_clock::now() - n.steady_at_start;
+    auto const run = time_since_boot() - n.boot_at_start;
     return std::chrono::time_point_cast<core::duration>(
         n.wall_at_start +
         std::chrono::duration_cast<std::chrono::system_clock::duration>(run));
@@ -248,36 +274,48 @@
         core::effects out;
         core::reduce(n.state, it, out);
         for (auto const& effect : out)
-            std::visit([&n](auto const& e) { perform(n, e); }, effect);
+            if (n.outside == nullptr || !n.outside->perform(n, effect))
+                std::visit([&n](auto const& e) { perform(n, e); }, effect);
     }
     n.handling = false;
 }
 
 } // namespace papayahook::runtime
 
-namespace papayahook {
+namespace papayahook::runtime {
 
-int run_node(std::string const& settings_file)
+namespace {
+
+void start_own_interfaces(node& n)
+{
+    open_own_interfaces(n);
+    read_log(n, "config");
+    read_log(n, "claims");
+    read_instances(n);
+    poll_endpoints(n);
+}
+
+} // namespace
+
+int run_node(settings it, std::unique_ptr<adapter> outside)
 {
-    using namespace runtime;
-    auto it = read_settings(settings_file);
     start_logging(it);
     int result = 0;
     try {
-        node n(std::move(it));
+        node n(std::move(it), std::move(outside));
         if (!n.set.record_file.empty()) {
             n.record.open(n.set.record_file);
             n.record << codec::settings_to_line(n.state.settings) << '\n';
         }
-        open_listeners(n);
+        open_links(n);
+        wait_for_signal(n);
+        if (n.outside)
+            n.outside->start(n);
+        else
+            start_own_interfaces(n);
         write_log({events::node_started, n.set.core.name, "",
-                   "caller " + n.set.caller.text() + " admin " +
+                   "caller " + n.set.core.caller_address + " admin " +
                        n.set.admin.text() + " peer " + n.set.peer.text()});
-        wait_for_signal(n);
-        read_log(n, "config");
-        read_log(n, "claims");
-        read_instances(n);
-        poll_endpoints(n);
         dial_peers(n);
         tick(n);
         n.io.run();
@@ -285,11 +323,20 @@
         result = n.signals_seen > 1 ? 1 : 0;
     }
     catch (std::system_error const& e) {
-        std::cerr << settings_file << ": listen: " << e.what() << '\n';
+        std::cerr << "listen: " << e.what() << '\n';
         result = 2;
     }
     stop_logging();
     return result;
 }
 
+} // namespace papayahook::runtime
+
+namespace papayahook {
+
+int run_node(std::string const& settings_file)
+{
+    return runtime::run_node(runtime::read_settings(settings_file), nullptr);
+}
+
 } // namespace papayahook
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -14,6 +14,20 @@
 
 namespace papayahook::runtime {
 
+struct node;
+
+// Meets callers, endpoints and the log in place of the product's own
+// interfaces. Translates; what to do is decided in the core.
+class adapter
+{
+public:
+    virtual ~adapter() = default;
+    virtual void start(node& n) = 0;  // opens listeners, begins to read
+    virtual void reload(node& n) = 0; // the settings may have changed
+    // False: the effect is carried out by the node itself.
+    virtual bool perform(node& n, core::effect const& it) = 0;
+};
+
 // A caller's side of a request. Outlives the connection while the answer can
 // be re-attached.
 struct open_request
@@ -46,13 +60,14 @@
 
 struct node
 {
-    explicit node(settings it);
+    node(settings it, std::unique_ptr<runtime::adapter> outside);
 
     settings set;
+    std::unique_ptr<runtime::adapter> outside; // empty: own interfaces
     asio::io_context io;
     core::node_state state;
     std::chrono::system_clock::time_point wall_at_start;
-    std::chrono::steady_clock::time_point steady_at_start;
+    std::chrono::nanoseconds boot_at_start; // counts time asleep too
     http_client client;
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> admin;
@@ -74,6 +89,10 @@
 };
 
 // node.cpp
+// Runs until the node ends; returns the exit code.
+int run_node(settings it, std::unique_ptr<adapter> outside);
+// Time since the machine started, suspended time included.
+std::chrono::nanoseconds time_since_boot();
 core::time_point now(node const& n);
 using event_body = decltype(core::event::what);
 void handle(node& n, event_body what);
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -43,7 +43,7 @@
     std::chrono::milliseconds list_period{1'000};
     double polls_per_second = 4; // load reports asked of endpoints
     std::string log_level = "info";
-    std::string log_file;    // empty: standard error
+    std::string log_file;    // empty: standard error; "-": standard output
     std::string record_file; // events as JSON lines; empty: none
 };
 
