Share quotas by a common account, place prompts by tokens ahead, stop streams with their caller

QUOTA: shares followed demand that peers did not know yet, and 14 in 100 quote requests within the limit were refused for having come to the wrong node. Late first tokens: long prompts met at one runner. Change: routes say what stops with its caller; quota shares count the demand that was told, and a common account of what all nodes spent admits the rest; routing counts prompt tokens ahead (own and told by peers), learns the time of a token, and gives shared parts a home that all nodes agree on.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -169,6 +169,7 @@
     bool resumable = false;             // a stream may go on elsewhere
     int max_attempts = 0;               // calls of a request; 0: any
     std::chrono::milliseconds target{}; // to the first byte; zero: none
+    bool stops_with_caller = false; // else orders and jobs go on without one
 };
 
 // Moves a route from its version to another by a deadline.
@@ -330,14 +331,21 @@
     std::string proof;          // keyed digest over the fields above
 };
 
+struct endpoint_load
+{
+    int calls = 0;  // in flight
+    int tokens = 0; // of prompts, until the first token of each
+};
+
 struct heartbeat
 {
     offset config = 0; // highest offset applied
     int in_flight = 0;
     bool leaving = false;
     std::map<std::string, double> demand; // units a second, by organisation
-    std::map<std::string, int> calls;     // in flight, by endpoint
-    usage_counts usage;                   // of this node, newest windows
+    std::map<std::string, double> spent;  // units since its start, likewise
+    std::map<std::string, endpoint_load> calls; // by endpoint
+    usage_counts usage;                         // of this node, newest windows
 };
 
 // Spreads by flooding, each item once: a node relays what it did not know.
@@ -606,6 +614,12 @@
     endpoint_entry what;
 };
 
+// Nodes that the registry names, whether or not they are up.
+struct nodes_listed
+{
+    std::size_t count = 0;
+};
+
 struct duties_read
 {
     offset end = 0; // offset of the next record
@@ -638,7 +652,7 @@
                  answer_head, answer_chunk, answer_end, call_failed, log_read,
                  append_done, log_reachable, peer_opened, peer_received,
                  peer_closed, endpoint_report, instance_list, relay_ended,
-                 config_published, endpoint_listed, duties_read,
+                 config_published, endpoint_listed, nodes_listed, duties_read,
                  duty_append_done, usage_reported, shutdown_requested, tick>
         what;
 };
@@ -802,9 +816,9 @@
     std::chrono::milliseconds first_token_target{520}; // of 95 in 100 requests
     std::chrono::milliseconds service_wait{1'000};     // in a standing queue
     std::chrono::milliseconds hop_cost{2}; // endpoint in another zone
-    std::chrono::microseconds prefill_per_token{100};
-    std::chrono::milliseconds endpoint_pause{1'000}; // after failures
-    std::chrono::milliseconds report_horizon{6'000}; // older load: ignored
+    std::chrono::microseconds prefill_per_token{100}; // until it is learned
+    std::chrono::milliseconds endpoint_pause{1'000};  // after failures
+    std::chrono::milliseconds report_horizon{6'000};  // older load: ignored
     std::chrono::milliseconds heartbeat_period{1'000};
     std::chrono::milliseconds peer_timeout{3'500};
     std::chrono::milliseconds stage_time{3'000};     // shortest stay in a stage
@@ -816,8 +830,11 @@
     // cuts what is left at the end of its time.
     std::chrono::milliseconds accept_while_leaving{0};
     std::chrono::milliseconds leave_within{3'600'000};
-    bool holds_duties = false;              // takes part in the lease
-    std::chrono::milliseconds lease{3'000}; // no two holders within it
+    double quota_overshoot = 0; // part of the rate that may be spent beyond
+    double quota_slack = 0;     // units likewise
+    std::chrono::milliseconds quota_window{1'000}; // in which both hold
+    bool holds_duties = false;                     // takes part in the lease
+    std::chrono::milliseconds lease{3'000};        // no two holders within it
     std::chrono::milliseconds usage_window{5'000};
     std::chrono::milliseconds usage_delay{2'500}; // for counts to come in
     // Of a registry that was out of reach: dropped entries may come back.
@@ -881,8 +898,10 @@
 
 struct endpoint_state
 {
-    int in_flight = 0; // own calls
-    int reported = 0;  // running + waiting by its own report
+    int in_flight = 0;  // own calls
+    int tokens = 0;     // own, of prompts whose first token is to come
+    endpoint_load told; // by all peers together
+    int reported = 0;   // running + waiting by its own report
     int own_at_report = 0;
     time_point reported_at{};
     int failures = 0; // in a row
@@ -941,6 +960,8 @@
     bool may_have_run = false;
     bool caller_present = true;
     time_point call_started{};
+    int prefill_tokens = 0; // of the open call, until its first token
+    int prefill_ahead = 0;  // at the endpoint when the call began
     time_point progress_at{};
     int status = 0;
     std::string content_type;
@@ -1007,15 +1028,20 @@
     std::string caller_address;
     time_point heard{};
     heartbeat last;
+    std::map<std::string, double> spending; // units a second, by organisation
+    time_point spending_at{};               // newest word on that
 };
 
 // Units that an organisation may still spend here.
 struct quota_state
 {
-    double left = 0;   // units
-    double share = 0;  // of the organisation's rate
-    double demand = 0; // units a second, moving mean
-    double asked = 0;  // since counted_at
+    double left = 0;        // units of the own share
+    double common = 0;      // units that all nodes together may still spend
+    double spent = 0;       // units since the start of this node
+    double share = 0;       // of the organisation's rate
+    double demand = 0;      // units a second, moving mean
+    double told_demand = 0; // as the peers know it
+    double asked = 0;       // since counted_at
     time_point filled_at{};
     time_point counted_at{};
 };
@@ -1093,12 +1119,14 @@
     std::map<std::string, int> in_flight;       // by organisation
     std::map<std::string, double> retry_tokens; // by pool
     std::map<std::string, quota_state> quotas;  // by organisation
+    std::size_t listed_nodes = 0; // in the registry, this one included
     duty_state duties;
     time_point log_back_at{}; // the log answers again since then
     std::map<std::uint64_t, peer_state> peers; // by link
     std::set<endpoint_leaving> known_leaving;
     std::map<std::pair<std::string, offset>, std::string> vetoes;
-    std::deque<successor_news> successors; // newest last, bounded
+    std::deque<successor_news> successors;    // newest last, bounded
+    std::map<std::string, double> prefill_us; // a token, by pool; learned
     std::deque<decision> decisions;
     time_point heartbeat_at{};
     call_id next_call = 1;
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -88,7 +88,7 @@
                 reclaimable)
 PAPAYAHOOK_JSON(route, name, pool, version, klass, repeatable, deadline,
                 progress_timeout, whole_deadline, host, path_prefix, splits,
-                open, streams, resumable, max_attempts, target)
+                open, streams, resumable, max_attempts, target, stops_with_caller)
 PAPAYAHOOK_JSON(version_move, name, route, to, deadline, canary_share,
                 min_samples, max_bad_excess, max_latency_ratio)
 PAPAYAHOOK_JSON(move_step, move, stage, end, reason, node)
@@ -164,7 +164,8 @@
 }
 
 PAPAYAHOOK_JSON(hello, protocol, node, incarnation, zone, caller_address, proof)
-PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, calls, usage)
+PAPAYAHOOK_JSON(endpoint_load, calls, tokens)
+PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, spent, calls, usage)
 PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
 PAPAYAHOOK_JSON(version_veto, move, started, reason)
 PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
@@ -215,6 +216,7 @@
 PAPAYAHOOK_NAME(relay_ended)
 PAPAYAHOOK_NAME(config_published)
 PAPAYAHOOK_NAME(endpoint_listed)
+PAPAYAHOOK_NAME(nodes_listed)
 PAPAYAHOOK_NAME(duties_read)
 PAPAYAHOOK_NAME(duty_append_done)
 PAPAYAHOOK_NAME(usage_reported)
@@ -324,6 +326,7 @@
 PAPAYAHOOK_JSON(relay_ended, id)
 PAPAYAHOOK_JSON(config_published, what)
 PAPAYAHOOK_JSON(endpoint_listed, what)
+PAPAYAHOOK_JSON(nodes_listed, count)
 PAPAYAHOOK_JSON(duties_read, end, entries)
 PAPAYAHOOK_JSON(duty_append_done, ok)
 PAPAYAHOOK_JSON(usage_reported, window, ok)
@@ -354,7 +357,8 @@
                 prefill_per_token, endpoint_pause, report_horizon,
                 heartbeat_period, peer_timeout, stage_time, move_margin,
                 answer_linger, hand_over_after, hands_over,
-                accept_while_leaving, leave_within, holds_duties, lease,
+                accept_while_leaving, leave_within, quota_overshoot,
+                quota_slack, quota_window, holds_duties, lease,
                 usage_window, usage_delay, relist_grace, claim_horizon,
                 append_retry, checkpoint_every, checkpoint_period)
 PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -56,8 +56,8 @@
     if (queue.size() >= static_cast<std::size_t>(s.settings.max_queue))
         return refusal_of(503, step::queue, "the queue is full", retry_soon);
     if (auto const wait = charge_quota(s, limits, e))
-        return refusal_of(429, step::admit,
-                          "the organisation's quota is used up", *wait);
+        return refusal_of(429, step::admit, describe_quota(s, limits, e),
+                          *wait);
     return std::nullopt;
 }
 
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -420,6 +420,7 @@
         return;
     note(out, events::snapshot_installed, "config", "",
          std::to_string(e.applied));
+    open_quotas(s);
     s.heartbeat_at = {};
     send_heartbeats(s, out);
     drain_queues(s, out);
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -30,6 +30,11 @@
 bool is_leaving(node_state const& s, endpoint const& e);
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version);
+// Takes a peer's word on its calls in place of its earlier word.
+void replace_load(node_state& s, heartbeat const& before,
+                  heartbeat const& now);
+void note_prefill(node_state& s, request_state& r, endpoint const& e);
+void end_prefill(node_state& s, request_state& r, bool answered);
 bool has_endpoint(node_state const& s, std::string const& pool,
                   std::string const& version, std::string const& schema);
 void note_prefixes(node_state& s, request_state const& r);
@@ -103,7 +108,12 @@
 double quota_cost(organisation const& org, request_arrived const& e);
 std::optional<std::chrono::milliseconds>
 charge_quota(node_state& s, organisation const& org, request_arrived const& e);
-std::map<std::string, double> own_demand(node_state& s);
+// What the last charge of an organisation was decided by.
+std::string describe_quota(node_state const& s, organisation const& org,
+                           request_arrived const& e);
+void open_quotas(node_state& s);
+void tell_quotas(node_state& s, heartbeat& out);
+void learn_spending(node_state& s, peer_state& p, heartbeat const& e);
 
 // duties.cpp: what one node does for all
 void on_duties_read(node_state& s, duties_read const& e, effects& out);
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -26,10 +26,10 @@
     out.config = s.config.applied;
     out.in_flight = static_cast<int>(s.calls.size());
     out.leaving = s.leaving;
-    out.demand = own_demand(s);
+    tell_quotas(s, out);
     for (auto const& [name, it] : s.endpoints)
         if (it.in_flight > 0)
-            out.calls[name] = it.in_flight;
+            out.calls[name] = {it.in_flight, it.tokens};
     out.usage = own_usage(s);
     return out;
 }
@@ -115,6 +115,8 @@
 void on_heartbeat(node_state& s, peer_state& p, heartbeat const& e,
                   effects& out)
 {
+    learn_spending(s, p, e);
+    replace_load(s, p.last, e);
     p.last = e;
     learn_usage(s, p, e.usage);
     if (e.config > s.config.applied)
@@ -165,6 +167,7 @@
     if (it == s.peers.end())
         return;
     auto const p = it->second;
+    replace_load(s, p.last, {});
     s.peers.erase(it);
     on_offer_lost(s, link, out);
     if (p.node.empty())
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -1,9 +1,11 @@
 // Quotas: an organisation's units a second, shared among the nodes.
 //
-// Each node spends a part of the rate; the parts follow the demand that the
-// nodes tell one another with their heartbeats. A part is never larger than
-// what the nodes known leave over, so that the sum stays within the limit
-// whatever each of them knows.
+// Two ways to be admitted. A node's own share of the rate follows the demand
+// that the nodes tell one another; the shares never add up to more than the
+// rate, whatever each node knows. Beside it every node keeps an account of
+// what all nodes have spent; while more than half of the allowance stands on
+// it, a request may go whatever the share says, so that an organisation within
+// its limit is not refused for having come to the wrong node.
 #include "core/internal.hpp"
 
 #include <algorithm>
@@ -19,25 +21,57 @@
 // Part of the rate that is split evenly, so that a node whose first requests
 // have just come has something to spend.
 constexpr double even_part = 0.25;
-// Units that may be saved up, in seconds of the node's share: the burst
-// belongs to all nodes together.
-constexpr double spare_seconds = 1.0;
+// Parts of what may be spent in any window: what is used of it, and how much
+// of that may be saved up and spent at once. The rest sets the rate.
+constexpr double used_part = 0.92;
+constexpr double burst_part = 0.2;
+// Parts of the burst: what shares may save up, and what the common account
+// must hold for a request to go without a share.
+constexpr double saved_part = 0.25;
+constexpr double common_part = 0.5;
 
+double node_count(node_state const& s)
+{
+    return static_cast<double>(
+        std::max({s.members.size(), s.listed_nodes, std::size_t{1}}));
+}
+
+double visible_peers(node_state const& s)
+{
+    return static_cast<double>(std::ranges::count_if(
+        s.peers, [](auto const& it) { return !it.second.node.empty(); }));
+}
+
+// Nodes that are known and out of sight may spend their even part as well.
 double part_of(node_state const& s, std::string const& name, double own)
 {
+    double const nodes = node_count(s);
+    double const seen = std::min(nodes, 1 + visible_peers(s));
     double all = own;
-    double nodes = 1;
     for (auto const& [link, p] : s.peers) {
-        if (p.node.empty())
-            continue;
-        nodes += 1;
         auto const it = p.last.demand.find(name);
         all += it == p.last.demand.end() ? 0 : it->second;
     }
-    // Nodes that are known and out of sight may spend as well.
-    nodes = std::max(nodes, static_cast<double>(s.members.size()));
-    auto const by_demand = all <= 0 ? 1 / nodes : own / all;
-    return even_part / nodes + (1 - even_part) * by_demand;
+    double const by_demand = all <= 0 ? 1 / seen : own / all;
+    return even_part / nodes + (1 - even_part) * seen / nodes * by_demand;
+}
+
+// A bucket that never lets more through in any window than is allowed.
+struct bucket
+{
+    double size = 0; // units that all nodes may spend at once
+    double rate = 0; // units a second
+};
+
+bucket bucket_of(node_state const& s, organisation const& org)
+{
+    double const window =
+        std::chrono::duration<double>(s.settings.quota_window).count();
+    double const allowed = (1 + s.settings.quota_overshoot) *
+                               (window * org.quota_rate + org.quota_burst) +
+                           s.settings.quota_slack;
+    double const used = used_part * allowed;
+    return {used * burst_part, used * (1 - burst_part) / window};
 }
 
 void sample_demand(node_state const& s, quota_state& q)
@@ -53,6 +87,19 @@
     q.counted_at = s.now;
 }
 
+// What peers are taken to spend until they tell.
+double expected_rate(node_state const& s, std::string const& name,
+                     double quota_rate)
+{
+    double out = 0;
+    for (auto const& [link, p] : s.peers) {
+        auto const it = p.spending.find(name);
+        out += it == p.spending.end() ? 0 : it->second;
+    }
+    double const hidden = std::max(0.0, node_count(s) - 1 - visible_peers(s));
+    return out + hidden * quota_rate / node_count(s);
+}
+
 void fill(node_state const& s, organisation const& org, quota_state& q)
 {
     double const passed =
@@ -60,10 +107,14 @@
             ? 0
             : std::chrono::duration<double>(s.now - q.filled_at).count();
     q.filled_at = s.now;
-    q.share = part_of(s, org.name, q.demand);
-    double const most =
-        q.share * std::max(org.quota_burst, spare_seconds * org.quota_rate);
-    q.left = std::min(most, q.left + passed * q.share * org.quota_rate);
+    // The demand that peers know counts, or the shares would add up to more.
+    q.share = part_of(s, org.name, q.told_demand);
+    auto const b = bucket_of(s, org);
+    q.left = std::min(q.share * saved_part * b.size,
+                      q.left + passed * q.share * b.rate);
+    q.common = std::min(
+        b.size,
+        q.common + passed * (b.rate - expected_rate(s, org.name, b.rate)));
 }
 
 } // namespace
@@ -81,6 +132,8 @@
 std::optional<std::chrono::milliseconds>
 charge_quota(node_state& s, organisation const& org, request_arrived const& e)
 {
+    constexpr auto soonest = 50ms;
+    constexpr auto latest = 60'000ms;
     if (org.quota_rate <= 0)
         return std::nullopt;
     auto& q = s.quotas[org.name];
@@ -88,29 +141,80 @@
     q.asked += cost;
     sample_demand(s, q);
     fill(s, org, q);
+    double const most = bucket_of(s, org).size;
     // A request larger than all that can be saved up goes when that is full.
-    double const needed =
-        std::min(cost, q.share * std::max(org.quota_burst,
-                                          spare_seconds * org.quota_rate));
-    if (q.left >= needed && q.left > 0) {
+    double const needed = std::min(cost, q.share * saved_part * most);
+    bool const in_share = q.left >= needed && q.left > 0;
+    bool const in_common = q.common - cost >= common_part * most;
+    if (in_share)
         q.left -= cost;
+    if (in_share || in_common) {
+        q.common -= cost;
+        q.spent += cost;
         return std::nullopt;
     }
-    double const rate = std::max(1e-6, q.share * org.quota_rate);
+    double const rate = std::max(1.0, q.share * bucket_of(s, org).rate);
     auto const wait = std::chrono::duration<double>((needed - q.left) / rate);
-    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(wait),
-                      std::chrono::milliseconds(50),
-                      std::chrono::milliseconds(60'000));
+    return std::clamp<std::chrono::milliseconds>(
+        std::chrono::ceil<std::chrono::milliseconds>(wait), soonest, latest);
 }
 
-std::map<std::string, double> own_demand(node_state& s)
+std::string describe_quota(node_state const& s, organisation const& org,
+                           request_arrived const& e)
+{
+    auto const it = s.quotas.find(org.name);
+    if (it == s.quotas.end())
+        return "no quota is kept of " + org.name;
+    auto const& q = it->second;
+    auto const text = [](double units) {
+        return std::to_string(static_cast<std::int64_t>(units));
+    };
+    return "the quota of " + org.name +
+           " is used up: " + text(quota_cost(org, e)) + " units asked, " +
+           text(q.left) + " left of the own share of " + text(100 * q.share) +
+           " in 100, " + text(q.common) + " left of all nodes' " +
+           text(bucket_of(s, org).size) + ", rate " + text(org.quota_rate) +
+           " a second";
+}
+
+// The account of an organisation begins to fill when it becomes known.
+void open_quotas(node_state& s)
+{
+    for (auto const& [name, it] : s.config.organisations) {
+        auto& q = s.quotas[name];
+        if (q.filled_at == time_point{})
+            q.filled_at = s.now;
+    }
+}
+
+// What this node tells its peers; shares are reckoned with it from then on.
+void tell_quotas(node_state& s, heartbeat& out)
 {
-    std::map<std::string, double> out;
     for (auto& [name, q] : s.quotas) {
         sample_demand(s, q);
-        out[name] = q.demand;
+        q.told_demand = q.demand;
+        out.demand[name] = q.demand;
+        out.spent[name] = q.spent;
+    }
+}
+
+// Sets what a peer was taken to have spent since its last word right.
+void learn_spending(node_state& s, peer_state& p, heartbeat const& e)
+{
+    auto const passed =
+        std::chrono::duration<double>(s.now - p.spending_at).count();
+    bool const first = p.spending_at == time_point{};
+    p.spending_at = s.now;
+    for (auto const& [name, spent] : e.spent) {
+        auto const before = p.last.spent.find(name);
+        double const base = before == p.last.spent.end() ? 0 : before->second;
+        double const delta = std::max(0.0, spent - base);
+        double& rate = p.spending[name];
+        auto const q = s.quotas.find(name);
+        if (q != s.quotas.end() && !first)
+            q->second.common -= delta - rate * passed;
+        rate = first || passed <= 0 ? 0 : delta / passed;
     }
-    return out;
 }
 
 } // namespace papayahook::core
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -150,6 +150,7 @@
                 on_config_published(s, it, out);
             },
             [&](endpoint_listed const& it) { learn_endpoint(s, it.what, out); },
+            [&](nodes_listed const& it) { s.listed_nodes = it.count; },
             [&](duties_read const& it) { on_duties_read(s, it, out); },
             [&](duty_append_done const& it) { on_duty_append(s, it); },
             [&](usage_reported const& it) { on_usage_reported(s, it, out); },
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t max_prefixes = 8192; // per endpoint
 constexpr std::size_t max_leaving = 4096;
 constexpr double queue_cost_us = 100'000; // a full endpoint against an idle one
+// Prompts shorter than this say little about the time of a token.
+constexpr int telling_tokens = 1'000;
+constexpr double prefill_step = 0.05; // of the moving mean
 
 // What is known of the load on a pool, for endpoints without a fresh report.
 struct pool_load
@@ -57,11 +60,36 @@
     double const reported = std::max(0, known.reported - known.own_at_report);
     double const guess = std::min<double>(pool.others_mean, e.slots);
     load_estimate out;
-    out.seen = known.in_flight + trust * reported;
-    out.expected = out.seen + (1 - trust) * guess;
+    double const others = std::max<double>(trust * reported, known.told.calls);
+    out.seen = known.in_flight + others;
+    bool const told = known.told.calls > 0;
+    out.expected = out.seen + (told ? 0 : (1 - trust) * guess);
     return out;
 }
 
+// The part that requests about the same thing share; the last part of a prompt
+// is a request's own. All nodes take the same endpoint for its home.
+std::optional<std::uint64_t> home_key(request_arrived const& asked)
+{
+    auto const& blocks = asked.prefix_blocks;
+    if (asked.block_tokens.empty() || blocks.empty())
+        return std::nullopt;
+    return blocks.size() > 1 ? blocks[blocks.size() - 2] : blocks.back();
+}
+
+std::uint64_t home_rank(std::string const& endpoint, std::uint64_t key)
+{
+    return hash_of(endpoint + "/" + std::to_string(key));
+}
+
+int shared_tokens(request_arrived const& asked)
+{
+    auto const& tokens = asked.block_tokens;
+    return tokens.empty()
+               ? 0
+               : std::accumulate(tokens.begin(), std::prev(tokens.end()), 0);
+}
+
 int cached_tokens(endpoint_state const& e, request_arrived const& asked)
 {
     auto const miss =
@@ -89,27 +117,64 @@
            takes_schema(e, schema) && !is_leaving(s, e);
 }
 
+double prefill_us(node_state const& s, std::string const& pool)
+{
+    auto const it = s.prefill_us.find(pool);
+    return it != s.prefill_us.end()
+               ? it->second
+               : static_cast<double>(s.settings.prefill_per_token.count());
+}
+
+int uncached_tokens(request_state const& r, endpoint_state const& known,
+                    bool is_home)
+{
+    int const prompt =
+        r.asked.prompt_tokens + static_cast<int>(r.chunks.size());
+    int cached = cached_tokens(known, r.asked);
+    // Other nodes send what is about the same thing to its home as well.
+    if (is_home)
+        cached = std::max(cached, shared_tokens(r.asked));
+    return std::max(0, prompt - cached);
+}
+
 // Microseconds to the first token at this endpoint, as far as is known here.
 double expected_cost(node_state const& s, request_state const& r,
                      endpoint const& e, endpoint_state const& known,
-                     double load)
+                     double load, bool is_home)
 {
     double const hop =
         e.zone == s.settings.zone
             ? 0.0
             : static_cast<double>(duration(s.settings.hop_cost).count());
-    int const prompt =
-        r.asked.prompt_tokens + static_cast<int>(r.chunks.size());
-    int const uncached = std::max(0, prompt - cached_tokens(known, r.asked));
-    double const prefill =
-        e.kind == endpoint_kind::model_runner
-            ? static_cast<double>(uncached) *
-                  static_cast<double>(s.settings.prefill_per_token.count())
-            : 0.0;
+    int const ahead = known.tokens + known.told.tokens;
+    double const prefill = e.kind == endpoint_kind::model_runner
+                               ? (uncached_tokens(r, known, is_home) + ahead) *
+                                     prefill_us(s, e.pool)
+                               : 0.0;
     double const fill = load / std::max(1, e.slots);
     return hop + prefill + fill * fill * queue_cost_us;
 }
 
+std::string home_of(node_state const& s, request_state const& r,
+                    std::string const& pool, std::string const& version)
+{
+    auto const key = home_key(r.asked);
+    if (!key)
+        return {};
+    std::string best;
+    std::uint64_t best_rank = 0;
+    for (auto const& [name, it] : s.config.endpoints) {
+        auto const rank = home_rank(name, *key);
+        bool const fits =
+            serves(s, it.value, pool, version, r.asked.schema_version);
+        if (fits && rank >= best_rank) {
+            best = name;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 namespace {
@@ -148,11 +213,61 @@
     });
 }
 
+void replace_load(node_state& s, heartbeat const& before, heartbeat const& now)
+{
+    for (auto const& [name, it] : before.calls) {
+        auto const known = s.endpoints.find(name);
+        if (known == s.endpoints.end())
+            continue;
+        auto& told = known->second.told;
+        told.calls = std::max(0, told.calls - it.calls);
+        told.tokens = std::max(0, told.tokens - it.tokens);
+    }
+    for (auto const& [name, it] : now.calls) {
+        auto const known = s.endpoints.find(name);
+        if (known == s.endpoints.end())
+            continue;
+        known->second.told.calls += it.calls;
+        known->second.told.tokens += it.tokens;
+    }
+}
+
+void note_prefill(node_state& s, request_state& r, endpoint const& e)
+{
+    if (e.kind != endpoint_kind::model_runner)
+        return;
+    auto& known = s.endpoints[e.name];
+    auto const home = home_of(s, r, e.pool, r.version);
+    r.prefill_tokens = uncached_tokens(r, known, e.name == home);
+    r.prefill_ahead = known.tokens + known.told.tokens;
+    known.tokens += r.prefill_tokens;
+}
+
+// A first token tells how long the prompts before it and its own took.
+void end_prefill(node_state& s, request_state& r, bool answered)
+{
+    if (r.prefill_tokens == 0)
+        return;
+    auto& known = s.endpoints[r.endpoint];
+    known.tokens = std::max(0, known.tokens - r.prefill_tokens);
+    bool const tells = answered && r.prefill_tokens >= telling_tokens &&
+                       r.prefill_ahead <= r.prefill_tokens;
+    if (tells) {
+        auto const us = static_cast<double>((s.now - r.call_started).count());
+        auto const [it, added] =
+            s.prefill_us.try_emplace(r.pool, prefill_us(s, r.pool));
+        double const seen = us / (r.prefill_tokens + r.prefill_ahead);
+        it->second += prefill_step * (seen - it->second);
+    }
+    r.prefill_tokens = 0;
+}
+
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version)
 {
     auto const wanted = pool_of(s, r);
     auto const pool = load_of_pool(s, wanted);
+    auto const home = home_of(s, r, wanted, version);
     std::string best;
     bool best_untried = false;
     double best_cost = std::numeric_limits<double>::max();
@@ -170,7 +285,7 @@
         double const jitter =
             static_cast<double>(hash_of(name + r.asked.id) % 1000);
         double const cost =
-            expected_cost(s, r, e, known, load.expected) + jitter;
+            expected_cost(s, r, e, known, load.expected, name == home) + jitter;
         if (untried < best_untried)
             continue;
         if (untried > best_untried || cost < best_cost) {
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -25,6 +25,7 @@
     if (r.call == 0)
         return;
     s.calls.erase(r.call);
+    end_prefill(s, r, false);
     s.endpoints[r.endpoint].in_flight--;
     s.limits[{r.pool, r.version}].in_flight--;
     r.call = 0;
@@ -203,6 +204,7 @@
     r.call_started = s.now;
     r.progress_at = s.now;
     s.calls[r.call] = r.asked.id;
+    note_prefill(s, r, e);
     s.endpoints[endpoint].in_flight++;
     s.limits[{e.pool, version}].in_flight++;
     s.counts.dispatches++;
@@ -292,6 +294,7 @@
         r->slow = is_slow(s, *r, s.now - r->call_started);
         note_first_token(s, *r, s.now - r->call_started);
         judge_first_token(s, *r, s.now - r->call_started);
+        end_prefill(s, *r, true);
         count_usage(s, r->organisation);
     }
     r->chunks.push_back(e.data);
@@ -336,8 +339,14 @@
         on_relay_ended(s, {e.id});
         return;
     }
-    bool const goes_on =
-        r->asked.keep || !r->repeatable || r->klass == priority_class::job;
+    auto const route = s.config.routes.find(r->asked.route);
+    bool const stops =
+        route != s.config.routes.end() && route->second.value.stops_with_caller;
+    bool const lasts = !r->repeatable || r->klass == priority_class::job;
+    // Nobody would learn of an order that is still to be sent.
+    bool const unsent = r->attempts == 0 && r->claim_key.empty() &&
+                        r->klass != priority_class::job;
+    bool const goes_on = r->asked.keep || (lasts && !stops && !unsent);
     if (goes_on) {
         r->drained = r->sent; // nobody to wait for
         if (r->paused && r->call != 0)
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -220,3 +220,46 @@
     give(w, 0, core::caller_gone{kept});
     CHECK(w.nodes[0].calls.size() == 1);
 }
+
+TEST_CASE("a stream that may not be resumed still stops with its caller")
+{
+    auto w = make_world(1);
+    configure(w);
+    core::route r;
+    r.name = "advice";
+    r.pool = w.nodes[0].config.routes.at("chat").value.pool;
+    r.version = "v1";
+    r.repeatable = false;
+    r.stops_with_caller = true;
+    publish(w, r);
+    read_log(w, 0);
+    core::request_arrived asked;
+    asked.id = "n1.1.advice";
+    asked.key_digest = "key";
+    asked.route = "advice";
+    give(w, 0, asked);
+    REQUIRE(w.nodes[0].calls.size() == 1);
+    give(w, 0, core::caller_gone{asked.id});
+    CHECK(w.nodes[0].calls.empty());
+}
+
+TEST_CASE("an order that waits is dropped when its caller goes")
+{
+    auto w = make_world(1);
+    configure(w);
+    // All slots of both desks are taken.
+    std::vector<core::request_id> orders;
+    for (int i = 0; i < 200; ++i) {
+        core::request_arrived asked;
+        asked.id = "n1.1.o" + std::to_string(i);
+        asked.key_digest = "key";
+        asked.route = "orders";
+        give(w, 0, asked);
+        orders.push_back(asked.id);
+    }
+    auto const& waiting = w.nodes[0].requests.at(orders.back());
+    REQUIRE(waiting.attempts == 0);
+    give(w, 0, core::caller_gone{orders.back()});
+    CHECK(w.nodes[0].requests.at(orders.back()).phase ==
+          core::request_phase::done);
+}
