Order endpoints by the work that all nodes see, mostly reclaimable ones

Change: nodes tell the endpoint time that prompts ask for; the holder of the duties orders enough of both kinds to lose a zone, and lasting ones for the case that no reclaimable one is left. The time of a prompt token is learned from its low values, for waiting only adds to it.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -345,6 +345,7 @@
     std::map<std::string, double> demand; // units a second, by organisation
     std::map<std::string, double> spent;  // units since its start, likewise
     std::map<std::string, endpoint_load> calls; // by endpoint
+    std::map<std::string, double> work;         // endpoints kept busy, by pool
     usage_counts usage;                         // of this node, newest windows
 };
 
@@ -631,6 +632,16 @@
     bool ok = false; // false: nothing is known; the stream will tell
 };
 
+struct endpoints_ordered
+{
+    std::string pool;
+    std::string zone;
+    bool reclaimable = false;
+    int count = 0;
+    bool ok = false;
+    std::string why; // of a refusal
+};
+
 struct usage_reported
 {
     std::int64_t window = 0;
@@ -653,7 +664,8 @@
                  append_done, log_reachable, peer_opened, peer_received,
                  peer_closed, endpoint_report, instance_list, relay_ended,
                  config_published, endpoint_listed, nodes_listed, duties_read,
-                 duty_append_done, usage_reported, shutdown_requested, tick>
+                 duty_append_done, usage_reported, endpoints_ordered,
+                 shutdown_requested, tick>
         what;
 };
 
@@ -759,6 +771,15 @@
     duty_record record;
 };
 
+struct order_endpoints
+{
+    std::uint64_t fencing = 0;
+    std::string pool;
+    std::string zone;
+    bool reclaimable = false;
+    int count = 0; // of this kind in this availability zone
+};
+
 struct report_usage
 {
     std::uint64_t fencing = 0;
@@ -788,7 +809,7 @@
     std::variant<refuse, dispatch, cancel_call, pause_call, resume_call,
                  send_head, send_chunk, finish_answer, fail_answer, relay,
                  append, send_peer, close_peer, append_duty, report_usage,
-                 log_event, wake, exit_process>;
+                 order_endpoints, log_event, wake, exit_process>;
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
@@ -834,7 +855,8 @@
     double quota_slack = 0;     // units likewise
     std::chrono::milliseconds quota_window{1'000}; // in which both hold
     bool holds_duties = false;                     // takes part in the lease
-    std::chrono::milliseconds lease{3'000};        // no two holders within it
+    bool plans_fleet = false; // orders endpoints while it holds the lease
+    std::chrono::milliseconds lease{3'000}; // no two holders within it
     std::chrono::milliseconds usage_window{5'000};
     std::chrono::milliseconds usage_delay{2'500}; // for counts to come in
     // Of a registry that was out of reach: dropped entries may come back.
@@ -1065,6 +1087,24 @@
     time_point report_at{};                       // not before
 };
 
+// Endpoint time that requests of a pool ask for.
+struct work_rate
+{
+    double rate = 0;    // endpoints kept busy, moving mean
+    double seconds = 0; // of endpoint time since counted_at
+    time_point counted_at{};
+};
+
+// An order of endpoints of one kind in one availability zone.
+struct order_state
+{
+    int asked = -1; // by the newest call
+    int told = -1;  // accepted; -1: nothing was ordered yet
+    time_point told_at{};
+    time_point not_before{};  // of the next call
+    time_point lower_since{}; // fewer would do since then
+};
+
 // Why something was decided; a bounded ring, printed by papayahookctl explain.
 struct decision
 {
@@ -1121,6 +1161,11 @@
     std::map<std::string, quota_state> quotas;  // by organisation
     std::size_t listed_nodes = 0; // in the registry, this one included
     duty_state duties;
+    std::map<std::string, work_rate> work; // of this node, by pool
+    time_point work_since{};               // the first of it
+    // By pool, zone and whether they are reclaimable.
+    std::map<std::tuple<std::string, std::string, bool>, order_state> orders;
+    time_point planned_at{};
     time_point log_back_at{}; // the log answers again since then
     std::map<std::uint64_t, peer_state> peers; // by link
     std::set<endpoint_leaving> known_leaving;
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -165,7 +165,8 @@
 
 PAPAYAHOOK_JSON(hello, protocol, node, incarnation, zone, caller_address, proof)
 PAPAYAHOOK_JSON(endpoint_load, calls, tokens)
-PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, spent, calls, usage)
+PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, spent, calls, work,
+                usage)
 PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
 PAPAYAHOOK_JSON(version_veto, move, started, reason)
 PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
@@ -220,6 +221,7 @@
 PAPAYAHOOK_NAME(duties_read)
 PAPAYAHOOK_NAME(duty_append_done)
 PAPAYAHOOK_NAME(usage_reported)
+PAPAYAHOOK_NAME(endpoints_ordered)
 PAPAYAHOOK_NAME(shutdown_requested)
 PAPAYAHOOK_NAME(tick)
 PAPAYAHOOK_NAME(refuse)
@@ -237,6 +239,7 @@
 PAPAYAHOOK_NAME(close_peer)
 PAPAYAHOOK_NAME(append_duty)
 PAPAYAHOOK_NAME(report_usage)
+PAPAYAHOOK_NAME(order_endpoints)
 PAPAYAHOOK_NAME(log_event)
 PAPAYAHOOK_NAME(wake)
 PAPAYAHOOK_NAME(exit_process)
@@ -330,6 +333,7 @@
 PAPAYAHOOK_JSON(duties_read, end, entries)
 PAPAYAHOOK_JSON(duty_append_done, ok)
 PAPAYAHOOK_JSON(usage_reported, window, ok)
+PAPAYAHOOK_JSON(endpoints_ordered, pool, zone, reclaimable, count, ok, why)
 PAPAYAHOOK_JSON(event, at, what)
 PAPAYAHOOK_JSON(refuse, id, why)
 PAPAYAHOOK_JSON(dispatch, id, call, endpoint, address, kind, version,
@@ -348,6 +352,7 @@
 PAPAYAHOOK_JSON(close_peer, link)
 PAPAYAHOOK_JSON(append_duty, at, record)
 PAPAYAHOOK_JSON(report_usage, fencing, what)
+PAPAYAHOOK_JSON(order_endpoints, fencing, pool, zone, reclaimable, count)
 PAPAYAHOOK_JSON(wake, at)
 PAPAYAHOOK_JSON(log_event, number, subject, peer, detail)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
@@ -358,7 +363,7 @@
                 heartbeat_period, peer_timeout, stage_time, move_margin,
                 answer_linger, hand_over_after, hands_over,
                 accept_while_leaving, leave_within, quota_overshoot,
-                quota_slack, quota_window, holds_duties, lease,
+                quota_slack, quota_window, holds_duties, plans_fleet, lease,
                 usage_window, usage_delay, relist_grace, claim_horizon,
                 append_retry, checkpoint_every, checkpoint_period)
 PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -143,6 +143,7 @@
         return;
     }
     report_next(s, out);
+    plan_fleet(s, out);
     auto const renew_at =
         d.held_until - part(s, held_part) + part(s, renew_part);
     if (s.now >= renew_at)
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -124,6 +124,12 @@
 usage_counts own_usage(node_state const& s);
 void learn_usage(node_state& s, peer_state const& p, usage_counts const& e);
 
+// fleet.cpp: endpoints ordered for all
+void count_work(node_state& s, request_state const& r, double prefill_us);
+std::map<std::string, double> own_work(node_state& s);
+void plan_fleet(node_state& s, effects& out);
+void on_ordered(node_state& s, endpoints_ordered const& e, effects& out);
+
 // config.cpp
 move_state* open_move_of(configuration& c, std::string const& route);
 void on_config_read(node_state& s, log_read const& e, effects& out);
@@ -227,6 +233,8 @@
 inline constexpr int lease_taken = 801;
 inline constexpr int lease_lost = 802;
 inline constexpr int usage_reported = 803;
+inline constexpr int endpoints_ordered = 805;
+inline constexpr int order_refused = 806;
 } // namespace events
 
 } // namespace papayahook::core
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -30,6 +30,7 @@
     for (auto const& [name, it] : s.endpoints)
         if (it.in_flight > 0)
             out.calls[name] = {it.in_flight, it.tokens};
+    out.work = own_work(s);
     out.usage = own_usage(s);
     return out;
 }
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -153,6 +153,7 @@
             [&](nodes_listed const& it) { s.listed_nodes = it.count; },
             [&](duties_read const& it) { on_duties_read(s, it, out); },
             [&](duty_append_done const& it) { on_duty_append(s, it); },
+            [&](endpoints_ordered const& it) { on_ordered(s, it, out); },
             [&](usage_reported const& it) { on_usage_reported(s, it, out); },
             [&](shutdown_requested const&) { on_shutdown(s, out); },
             [&](tick const&) { on_tick(s, out); },
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -14,8 +14,10 @@
 constexpr std::size_t max_leaving = 4096;
 constexpr double queue_cost_us = 100'000; // a full endpoint against an idle one
 // Prompts shorter than this say little about the time of a token.
-constexpr int telling_tokens = 1'000;
-constexpr double prefill_step = 0.05; // of the moving mean
+constexpr int telling_tokens = 2'000;
+// Waiting adds to what is seen, so a low value says more than a high one.
+constexpr double prefill_step_down = 0.2;
+constexpr double prefill_step_up = 0.01;
 
 // What is known of the load on a pool, for endpoints without a fresh report.
 struct pool_load
@@ -77,9 +79,13 @@
     return blocks.size() > 1 ? blocks[blocks.size() - 2] : blocks.back();
 }
 
-std::uint64_t home_rank(std::string const& endpoint, std::uint64_t key)
+// Bits of both, spread over the whole number (the finalizer of MurmurHash3).
+std::uint64_t mix(std::uint64_t a, std::uint64_t b)
 {
-    return hash_of(endpoint + "/" + std::to_string(key));
+    std::uint64_t out = a ^ b;
+    out = (out ^ out >> 33) * 0xff51afd7ed558ccdULL;
+    out = (out ^ out >> 33) * 0xc4ceb9fe1a85ec53ULL;
+    return out ^ out >> 33;
 }
 
 int shared_tokens(request_arrived const& asked)
@@ -164,7 +170,7 @@
     std::string best;
     std::uint64_t best_rank = 0;
     for (auto const& [name, it] : s.config.endpoints) {
-        auto const rank = home_rank(name, *key);
+        auto const rank = mix(hash_of(name), *key);
         bool const fits =
             serves(s, it.value, pool, version, r.asked.schema_version);
         if (fits && rank >= best_rank) {
@@ -241,6 +247,7 @@
     r.prefill_tokens = uncached_tokens(r, known, e.name == home);
     r.prefill_ahead = known.tokens + known.told.tokens;
     known.tokens += r.prefill_tokens;
+    count_work(s, r, prefill_us(s, e.pool));
 }
 
 // A first token tells how long the prompts before it and its own took.
@@ -257,7 +264,9 @@
         auto const [it, added] =
             s.prefill_us.try_emplace(r.pool, prefill_us(s, r.pool));
         double const seen = us / (r.prefill_tokens + r.prefill_ahead);
-        it->second += prefill_step * (seen - it->second);
+        it->second +=
+            (seen < it->second ? prefill_step_down : prefill_step_up) *
+            (seen - it->second);
     }
     r.prefill_tokens = 0;
 }
@@ -268,6 +277,7 @@
     auto const wanted = pool_of(s, r);
     auto const pool = load_of_pool(s, wanted);
     auto const home = home_of(s, r, wanted, version);
+    auto const request_hash = hash_of(r.asked.id);
     std::string best;
     bool best_untried = false;
     double best_cost = std::numeric_limits<double>::max();
@@ -283,7 +293,7 @@
         bool const untried = std::ranges::find(r.tried, name) == r.tried.end();
         // Ties are broken by request, or all nodes would pick the same one.
         double const jitter =
-            static_cast<double>(hash_of(name + r.asked.id) % 1000);
+            static_cast<double>(mix(hash_of(name), request_hash) % 1000);
         double const cost =
             expected_cost(s, r, e, known, load.expected, name == home) + jitter;
         if (untried < best_untried)
