Stay until the last bytes have left; keep lasting endpoints while others are scarce

Change: exit_linger; no lasting endpoint goes while reclaimable ones were refused in the last 10 s; the lease is renewed, held and taken over faster.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -851,6 +851,7 @@
     // cuts what is left at the end of its time.
     std::chrono::milliseconds accept_while_leaving{0};
     std::chrono::milliseconds leave_within{3'600'000};
+    std::chrono::milliseconds exit_linger{500}; // for the last bytes to leave
     double quota_overshoot = 0; // part of the rate that may be spent beyond
     double quota_slack = 0;     // units likewise
     std::chrono::milliseconds quota_window{1'000}; // in which both hold
@@ -1142,6 +1143,7 @@
     time_point now{};
     bool leaving = false;
     time_point leaving_since{};
+    time_point last_ended{}; // of the requests of callers here
     bool log_reachable = false;
     configuration config;
     once_state once;
@@ -1166,6 +1168,7 @@
     // By pool, zone and whether they are reclaimable.
     std::map<std::tuple<std::string, std::string, bool>, order_state> orders;
     time_point planned_at{};
+    std::map<std::string, time_point> refused_at; // reclaimable ones, by pool
     time_point log_back_at{}; // the log answers again since then
     std::map<std::uint64_t, peer_state> peers; // by link
     std::set<endpoint_leaving> known_leaving;
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -362,7 +362,7 @@
                 prefill_per_token, endpoint_pause, report_horizon,
                 heartbeat_period, peer_timeout, stage_time, move_margin,
                 answer_linger, hand_over_after, hands_over,
-                accept_while_leaving, leave_within, quota_overshoot,
+                accept_while_leaving, leave_within, exit_linger, quota_overshoot,
                 quota_slack, quota_window, holds_duties, plans_fleet, lease,
                 usage_window, usage_delay, relist_grace, claim_horizon,
                 append_retry, checkpoint_every, checkpoint_period)
--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -18,9 +18,9 @@
 
 // Parts of the lease. A holder stops well before a successor may start, so
 // that its last call has arrived by then.
-constexpr double held_part = 1.5;
-constexpr double renew_part = 0.75;
-constexpr double successor_part = 2.5;
+constexpr double held_part = 0.9;
+constexpr double renew_part = 0.4;
+constexpr double successor_part = 1.4;
 constexpr auto successor_step = 300ms; // per rank, so that one node asks first
 constexpr auto append_patience = 1s;   // then the stream is asked again
 constexpr std::int64_t kept_windows = 8;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -32,6 +32,11 @@
 constexpr auto lower_after = 6s;   // fewer for so long before fewer are ordered
 constexpr auto ask_again = 2s;     // after a refusal or no answer
 constexpr auto repeat_after = 20s; // an order that should stand
+// After a refusal of reclaimable endpoints those that are left are not relied
+// on: a platform that takes some back may take more.
+constexpr auto scarce_for = 10s;
+constexpr double scarce_fill = 0.5;
+constexpr double scarce_trust = 0.5; // part of them that is counted
 
 struct present
 {
@@ -125,12 +130,20 @@
     int reclaimable = 0;
     for (auto const& [zone, there] : zones)
         reclaimable += there.reclaimable;
-    int const kept = std::clamp(
-        at_least((work / replaced_fill - reclaimable) / n), lasting, in_zone);
+    auto const refused = s.refused_at.find(p.name);
+    bool const scarce = refused != s.refused_at.end() &&
+                        s.now < refused->second + duration(scarce_for);
+    double const needed = scarce
+                              ? work / scarce_fill - scarce_trust * reclaimable
+                              : work / replaced_fill - reclaimable;
+    int const kept = std::clamp(at_least(needed / n), lasting, in_zone);
     for (auto const& [zone, there] : zones) {
         int const cheap = in_zone - lasting;
         order(s, p.name, zone, true, cheap, there.reclaimable, out);
-        order(s, p.name, zone, false, kept, there.lasting, out);
+        int const standing =
+            std::max(there.lasting, s.orders[{p.name, zone, false}].told);
+        order(s, p.name, zone, false, scarce ? std::max(kept, standing) : kept,
+              there.lasting, out);
     }
 }
 
@@ -190,6 +203,8 @@
         it.not_before = s.now;
         return;
     }
+    if (e.reclaimable)
+        s.refused_at[e.pool] = s.now;
     note(out, events::order_refused, e.pool, e.zone, e.why);
 }
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -257,8 +257,8 @@
         return;
     auto& known = s.endpoints[r.endpoint];
     known.tokens = std::max(0, known.tokens - r.prefill_tokens);
-    bool const tells = answered && r.prefill_tokens >= telling_tokens &&
-                       r.prefill_ahead <= r.prefill_tokens;
+    bool const tells =
+        answered && r.prefill_tokens >= telling_tokens && r.prefill_ahead == 0;
     if (tells) {
         auto const us = static_cast<double>((s.now - r.call_started).count());
         auto const [it, added] =
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -186,6 +186,7 @@
     close_call(s, r);
     r.phase = request_phase::done;
     r.ended = s.now;
+    s.last_ended = s.now;
     r.early.clear();
     s.in_flight[r.organisation]--;
 }
--- a/test/handover_test.cpp
+++ b/test/handover_test.cpp
@@ -223,3 +223,25 @@
           std::vector<std::string>{"n4:80", "n5:80"});
     CHECK(core::holders_of(n, "bad id").empty());
 }
+
+TEST_CASE("a leaving node stays until its last answer can have been written")
+{
+    auto w = make_world(1);
+    configure(w);
+    auto const id = ask_chat(w, 0);
+    give(w, 0, core::shutdown_requested{});
+    auto const call = w.nodes[0].requests.at(id).call;
+    give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+    give(w, 0, core::answer_chunk{call, 0, "t"});
+    give(w, 0, core::answer_end{call, 1});
+    auto const exits = [&] {
+        core::effects out;
+        core::reduce(w.nodes[0], {w.now, core::tick{}}, out);
+        return std::ranges::any_of(out, [](auto const& it) {
+            return std::holds_alternative<core::exit_process>(it);
+        });
+    };
+    CHECK_FALSE(exits());
+    w.now += w.nodes[0].settings.exit_linger + 1ms;
+    CHECK(exits());
+}
