--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1061,6 +1061,7 @@
     double left = 0;        // units of the own share
     double common = 0;      // units that all nodes together may still spend
     double spent = 0;       // units since the start of this node
+    double untold = 0;      // of these, from `common`, since the last heartbeat
     double share = 0;       // of the organisation's rate
     double demand = 0;      // units a second, moving mean
     double told_demand = 0; // as the peers know it
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -29,6 +29,9 @@
 // must hold for a request to go without a share.
 constexpr double saved_part = 0.25;
 constexpr double common_part = 0.5;
+constexpr double most_hidden = 0.25; // part of the nodes, out of sight
+constexpr auto fresh_beats = 1.5;
+constexpr int silent_beats = 3; // heartbeats missed by a peer out of sight
 
 double node_count(node_state const& s)
 {
@@ -36,10 +39,32 @@
         std::max({s.members.size(), s.listed_nodes, std::size_t{1}}));
 }
 
+// Of a peer that has been silent for longer nothing is known any more.
+bool is_visible(node_state const& s, peer_state const& p)
+{
+    return !p.node.empty() &&
+           s.now <=
+               p.heard + silent_beats * duration(s.settings.heartbeat_period);
+}
+
 double visible_peers(node_state const& s)
 {
     return static_cast<double>(std::ranges::count_if(
-        s.peers, [](auto const& it) { return !it.second.node.empty(); }));
+        s.peers, [&](auto const& it) { return is_visible(s, it.second); }));
+}
+
+// Nearly all nodes are in sight and none of them has missed a heartbeat: they
+// hear this node as well.
+bool hears_all(node_state const& s)
+{
+    double const hidden = node_count(s) - 1 - visible_peers(s);
+    if (hidden > most_hidden * node_count(s))
+        return false;
+    auto const late = std::chrono::duration_cast<duration>(
+        fresh_beats * duration(s.settings.heartbeat_period));
+    return std::ranges::none_of(s.peers, [&](auto const& it) {
+        return is_visible(s, it.second) && s.now > it.second.heard + late;
+    });
 }
 
 // Nodes that are known and out of sight may spend their even part as well.
@@ -50,7 +75,8 @@
     double all = own;
     for (auto const& [link, p] : s.peers) {
         auto const it = p.last.demand.find(name);
-        all += it == p.last.demand.end() ? 0 : it->second;
+        bool const counts = is_visible(s, p) && it != p.last.demand.end();
+        all += counts ? it->second : 0;
     }
     double const by_demand = all <= 0 ? 1 / seen : own / all;
     return even_part / nodes + (1 - even_part) * seen / nodes * by_demand;
@@ -94,7 +120,8 @@
     double out = 0;
     for (auto const& [link, p] : s.peers) {
         auto const it = p.spending.find(name);
-        out += it == p.spending.end() ? 0 : it->second;
+        bool const counts = is_visible(s, p) && it != p.spending.end();
+        out += counts ? it->second : 0;
     }
     double const hidden = std::max(0.0, node_count(s) - 1 - visible_peers(s));
     return out + hidden * quota_rate / node_count(s);
@@ -145,9 +172,15 @@
     // A request larger than all that can be saved up goes when that is full.
     double const needed = std::min(cost, q.share * saved_part * most);
     bool const in_share = q.left >= needed && q.left > 0;
-    bool const in_common = q.common - cost >= common_part * most;
+    // Until its peers know what it has spent, a node takes no more of the
+    // common account than all nodes could take at once.
+    double const spare = q.common - common_part * most;
+    bool const in_common =
+        spare >= cost && q.untold + cost <= spare / node_count(s);
     if (in_share)
         q.left -= cost;
+    else if (in_common)
+        q.untold += cost;
     if (in_share || in_common) {
         q.common -= cost;
         q.spent += cost;
@@ -190,10 +223,14 @@
 // What this node tells its peers; shares are reckoned with it from then on.
 void tell_quotas(node_state& s, heartbeat& out)
 {
+    bool const heard = hears_all(s);
     for (auto& [name, q] : s.quotas) {
         sample_demand(s, q);
-        q.told_demand = q.demand;
-        out.demand[name] = q.demand;
+        if (heard) {
+            q.told_demand = q.demand;
+            q.untold = 0;
+        }
+        out.demand[name] = q.told_demand;
         out.spent[name] = q.spent;
     }
 }
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -24,7 +24,7 @@
 using asio::ip::tcp;
 
 constexpr std::size_t receive_buffer_bytes = 8 * 1024;
-constexpr std::size_t max_idle_per_peer = 64;
+constexpr std::size_t max_idle_per_peer = 8;
 // Idle connections are closed before the servers do it, most of which keep
 // theirs for at least a few seconds; a Keep-Alive header may say less.
 constexpr auto idle_limit = 4s;
--- /dev/null
+++ b/test/http_client_test.cpp
@@ -0,0 +1,286 @@
+// Calls against a peer that says any bytes at any time.
+#include "runtime/http_client.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+using namespace papayahook::runtime;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+// Accepts connections and answers the n-th request on each with the n-th
+// script; an empty script closes, "reset" resets.
+struct peer
+{
+    peer(asio::io_context& it, std::vector<std::string> answers,
+         std::size_t read_first = 0)
+        : io(it), scripts(std::move(answers)), least(read_first),
+          acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        accept();
+    }
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" +
+               std::to_string(acceptor.local_endpoint().port()) + "/x";
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([this](auto ec, tcp::socket s) {
+            if (ec)
+                return;
+            connections++;
+            sockets.push_back(std::make_shared<tcp::socket>(std::move(s)));
+            read(sockets.back(), 0, std::make_shared<std::string>());
+            accept();
+        });
+    }
+
+    // A request ends with its head here, or after `least` bytes.
+    void read(std::shared_ptr<tcp::socket> s, std::size_t n,
+              std::shared_ptr<std::string> got)
+    {
+        auto buf = std::make_shared<std::array<char, 4096>>();
+        s->async_read_some(asio::buffer(*buf), [=, this](auto ec, auto size) {
+            if (ec)
+                return;
+            got->append(buf->data(), size);
+            received.append(buf->data(), size);
+            bool const whole = least != 0 ? got->size() >= least
+                                          : got->find("\r\n\r\n") != got->npos;
+            if (!whole || n >= scripts.size()) {
+                read(s, n, got);
+                return;
+            }
+            got->clear();
+            answer(s, n);
+        });
+    }
+
+    void answer(std::shared_ptr<tcp::socket> s, std::size_t n)
+    {
+        auto const& script = scripts[n];
+        if (script.empty() || script == "reset") {
+            if (!script.empty())
+                s->set_option(asio::socket_base::linger(true, 0));
+            s->close();
+            return;
+        }
+        asio::async_write(*s, asio::buffer(script), [=, this](auto ec, auto) {
+            if (script.ends_with("close"))
+                s->close();
+            else if (script.ends_with("cut")) {
+                s->set_option(asio::socket_base::linger(true, 0));
+                s->close();
+            }
+            else if (!ec)
+                read(s, n + 1, std::make_shared<std::string>());
+        });
+    }
+
+    asio::io_context& io;
+    std::vector<std::string> scripts;
+    std::size_t least = 0;
+    tcp::acceptor acceptor;
+    std::vector<std::shared_ptr<tcp::socket>> sockets;
+    std::string received;
+    int connections = 0;
+};
+
+struct got
+{
+    http_result result;
+    std::string body;
+    bool done = false;
+};
+
+void run_for(asio::io_context& io, std::chrono::milliseconds time)
+{
+    io.restart();
+    io.run_for(time);
+}
+
+got call(asio::io_context& io, http_client& client, std::string const& url,
+         std::string const& id = "", std::string body = "")
+{
+    auto out = std::make_shared<got>();
+    http_call it;
+    it.method = "POST";
+    it.url = url;
+    it.body = std::move(body);
+    if (!id.empty())
+        it.echo = {"Request-Id", id};
+    it.on_data = [out](std::string_view data) {
+        out->body += data;
+    };
+    it.on_done = [out](http_result const& result) {
+        out->result = result;
+        out->done = true;
+    };
+    client.start(std::move(it));
+    for (int i = 0; i < 200 && !out->done; ++i)
+        run_for(io, 5ms);
+    return *out;
+}
+
+std::string const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("a connection is used again after a whole answer")
+{
+    asio::io_context io;
+    http_client client(io);
+    peer p(io, {whole, whole});
+    CHECK(call(io, client, p.url()).body == "ok");
+    CHECK(call(io, client, p.url()).body == "ok");
+    CHECK(p.connections == 1);
+}
+
+TEST_CASE("a second answer is never taken for that of the next request")
+{
+    asio::io_context io;
+    http_client client(io);
+    std::string const stale = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+    SECTION("in one piece with the first")
+    {
+        peer p(io, {whole + stale, whole});
+        CHECK(call(io, client, p.url()).body == "ok");
+        CHECK(call(io, client, p.url()).body == "ok");
+        CHECK(p.connections == 2);
+    }
+    SECTION("later, while the connection is idle")
+    {
+        peer p(io, {whole, whole});
+        CHECK(call(io, client, p.url()).body == "ok");
+        asio::write(*p.sockets[0], asio::buffer(stale));
+        run_for(io, 20ms);
+        CHECK(call(io, client, p.url()).body == "ok");
+        CHECK(p.connections == 2);
+    }
+    SECTION("in place of the next answer, with the id of the first")
+    {
+        std::string const other = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+                                  "Content-Length: 2\r\n\r\nok";
+        peer p(io, {other, other});
+        CHECK(call(io, client, p.url(), "a").body == "ok");
+        auto const it = call(io, client, p.url(), "b");
+        CHECK(it.result.error);
+        CHECK(it.result.may_have_run);
+        CHECK(it.body.empty());
+    }
+}
+
+TEST_CASE("an answer without a length ends with its connection")
+{
+    asio::io_context io;
+    http_client client(io);
+    std::string const head = "HTTP/1.1 200 OK\r\n\r\n";
+    SECTION("closed: whole")
+    {
+        peer p(io, {head + "body close"});
+        auto const it = call(io, client, p.url());
+        CHECK_FALSE(it.result.error);
+        CHECK(it.body == "body close");
+    }
+    SECTION("reset: not whole")
+    {
+        peer p(io, {head + "body cut"});
+        CHECK(call(io, client, p.url()).result.error);
+    }
+}
+
+TEST_CASE("an answer that is cut short is no answer")
+{
+    asio::io_context io;
+    http_client client(io);
+    for (std::string const script :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf close",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe close",
+          "no answer at all\r\n\r\n close", "HTTP/1.1 200 O close",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n close"}) {
+        INFO(script);
+        peer p(io, {script});
+        auto const it = call(io, client, p.url());
+        CHECK(it.result.error);
+        CHECK(it.result.may_have_run);
+    }
+}
+
+TEST_CASE("a request is not sent again when its connection dies")
+{
+    asio::io_context io;
+    http_client client(io);
+    peer p(io, {whole, ""});
+    CHECK(call(io, client, p.url()).body == "ok");
+    auto const it = call(io, client, p.url());
+    CHECK(it.result.error);
+    CHECK(it.result.may_have_run);
+    CHECK(p.connections == 1);
+}
+
+TEST_CASE("an answer may come before the request has been read")
+{
+    asio::io_context io;
+    http_client client(io);
+    std::string const body(8'000'000, 'b');
+    peer p(io, {whole}, 100);
+    CHECK(call(io, client, p.url(), "", body).body == "ok");
+    // The rest of the body is still due on that connection; another request
+    // must not be taken for it.
+    auto const next = "NEXT" + std::string(200, 'n');
+    call(io, client, p.url(), "", next);
+    auto const at = p.received.find("NEXT");
+    REQUIRE(at != p.received.npos);
+    bool const in_order = p.connections == 2 || at > body.size();
+    CHECK(in_order);
+}
+
+TEST_CASE("a refused connection says that nothing was sent")
+{
+    asio::io_context io;
+    http_client client(io);
+    std::string url;
+    {
+        peer p(io, {});
+        url = p.url();
+    }
+    auto const it = call(io, client, url);
+    CHECK(it.result.step == "connect");
+    CHECK_FALSE(it.result.may_have_run);
+}
+
+TEST_CASE("a cancelled call closes its connection and reports nothing")
+{
+    asio::io_context io;
+    http_client client(io);
+    peer p(io, {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"});
+    bool done = false;
+    std::uint64_t id = 0;
+    http_call it;
+    it.url = p.url();
+    it.on_data = [&](std::string_view) {
+        client.cancel(id); // from its own callback
+    };
+    it.on_done = [&](http_result const&) {
+        done = true;
+    };
+    id = client.start(std::move(it));
+    run_for(io, 50ms);
+    CHECK_FALSE(done);
+    REQUIRE(p.sockets.size() == 1);
+    std::error_code ec;
+    char byte = 0;
+    p.sockets[0]->non_blocking(true);
+    p.sockets[0]->read_some(asio::buffer(&byte, 1), ec);
+    CHECK(ec == asio::error::eof);
+}
--- /dev/null
+++ b/test/platform_test.cpp
@@ -0,0 +1,305 @@
+// The adapter: bytes of the platform in, typed values out, and back.
+#include "platform/documents.hpp"
+#include "platform/exchange.hpp"
+#include "platform/settings.hpp"
+
+#include "codec/json.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace papayahook;
+using namespace papayahook::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char const* configuration_text = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "h.example", "path_prefix": "/a/",
+     "route_type": "streaming", "timeout_ms": 3000,
+     "target_latency_ms": 600, "priority": 0, "service": "s1",
+     "attempts": 1, "public": false, "resumable": false},
+    {"name": "r2", "host": "h.example", "path_prefix": "/b/",
+     "route_type": "idempotent", "timeout_ms": 1500, "attempts": 2,
+     "split": [{"service": "s1", "weight": 90},
+               {"service": "s2", "weight": 10}]},
+    {"name": "r3", "host": "h.example"},
+    {"name": "r4", "host": "h.example", "path_prefix": "/d/",
+     "route_type": "non_idempotent", "service": "s2", "timeout_ms": "soon"}],
+  "services": [
+    {"name": "s1", "health_path": "/health", "max_conns": 360,
+     "engine": {"kv_capacity_tokens": 370000},
+     "scaling": {"min": 1, "max": 12, "boot_s": 4.0, "spot_price": 0.22,
+                 "zone_prices": {"z1": 0.85, "z2": "free"}}}, 5],
+  "tenants": [{"name": "t1", "api_keys": ["k1", 3], "priority": 1,
+               "unit": "token_count", "plain_tokens": 200,
+               "rate_per_s": 1000, "burst": 500}],
+  "unheard_of": {}
+})";
+
+runtime::http_request request()
+{
+    runtime::http_request out;
+    out.method = "POST";
+    out.path = "/a/x";
+    out.target = "/a/x?y=1";
+    out.headers = {{"Host", "h.example"},
+                   {"Request-Id", "id-1"},
+                   {"Authorization", "Bearer k1"},
+                   {"Deadline-Ms", "2500"},
+                   {"Model", "m"},
+                   {"Token-Count", "1460,80"},
+                   {"Prefix-Hash", "5c:800,91:410,e4:250"},
+                   {"Last-Event-Id", "12"},
+                   {"Tenant", "somebody"},
+                   {"hold", "h"},
+                   {"Pin-Ms", "4000"},
+                   {"Kv-From", "10.0.0.1:1/x"},
+                   {"Connection", "close, X-Hop"},
+                   {"X-Hop", "1"},
+                   {"X-Other", "2"}};
+    return out;
+}
+
+std::string value_of(runtime::header_list const& headers, char const* name)
+{
+    return std::string(runtime::header_value(headers, name));
+}
+
+bool has(runtime::header_list const& headers, char const* name)
+{
+    return runtime::header_value(headers, name).data() != nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded; entries that cannot be read are named")
+{
+    std::vector<complaint> skipped;
+    auto const it =
+        decode_configuration({6, "config", configuration_text}, skipped);
+    CHECK(it.applied == 7);
+    CHECK_FALSE(it.lists_endpoints);
+    REQUIRE(it.routes.size() == 3);
+    CHECK(skipped.size() == 2);
+    auto const& stream = it.routes[0].value;
+    CHECK(stream.streams);
+    CHECK_FALSE(stream.repeatable);
+    CHECK(stream.stops_with_caller);
+    CHECK(stream.deadline == 3s);
+    CHECK(stream.target == 600ms);
+    CHECK(stream.klass == core::priority_class::order);
+    auto const& plain = it.routes[1].value;
+    CHECK(plain.repeatable);
+    CHECK(plain.max_attempts == 2);
+    REQUIRE(plain.splits.size() == 2);
+    CHECK(plain.splits[1].weight == 10);
+    auto const& order = it.routes[2].value;
+    CHECK_FALSE(order.repeatable);
+    CHECK_FALSE(order.stops_with_caller);
+    CHECK(order.deadline == 30s); // of another type: the usual one
+    REQUIRE(it.pools.size() == 1);
+    CHECK(it.pools[0].memory_tokens == 370'000);
+    REQUIRE(it.pools[0].scaling);
+    CHECK(it.pools[0].scaling->zone_cost.size() == 1);
+    REQUIRE(it.organisations.size() == 1);
+    auto const& org = it.organisations[0].value;
+    CHECK(org.key_digests == std::vector{codec::sha256("k1")});
+    CHECK(org.counts_tokens);
+    CHECK(org.quota_rate == 1'000);
+}
+
+TEST_CASE("a configuration that is no document changes nothing")
+{
+    std::vector<complaint> skipped;
+    CHECK(decode_configuration({6, "config", "[1"}, skipped).applied == 0);
+    CHECK(skipped.size() == 1);
+}
+
+TEST_CASE("a runner's entry is decoded, and a spoilt one names no runner")
+{
+    auto const text = [](std::string const& state) {
+        return R"({"service":"s1","address":"10.1.0.9:80","zone":"z1",)"
+               R"("version":"v1","slots":64,"born":1768722342030,)"
+               R"("models":[{"name":"m"}],"spot":true,"state":")" +
+               state + R"(","sequence":4})";
+    };
+    complaint skipped;
+    auto it = decode_endpoint({3, "i-1", text("ready")}, skipped);
+    CHECK(skipped.empty());
+    CHECK(it.at == 4);
+    CHECK(it.present);
+    CHECK_FALSE(it.draining);
+    CHECK(it.what.reclaimable);
+    CHECK(it.what.incarnation == "1768722342030");
+    CHECK(it.what.kind == core::endpoint_kind::model_runner);
+    CHECK(decode_endpoint({4, "i-1", text("draining")}, skipped).draining);
+    for (std::string const bad :
+         {text("resting"), std::string("{"), std::string(R"({"service":1})"),
+          std::string("\xff\xfe")}) {
+        skipped.clear();
+        CHECK_FALSE(decode_endpoint({5, "i-1", bad}, skipped).present);
+        CHECK_FALSE(skipped.empty());
+    }
+    skipped.clear();
+    CHECK_FALSE(decode_endpoint({6, "i-1", ""}, skipped).present);
+    CHECK(skipped.empty()); // dropped, not spoilt
+}
+
+TEST_CASE("a page of records is decoded, and a cut one is told")
+{
+    std::string page(7, '\0');
+    page += '\x0a' + std::string(7, '\0') + '\x02';
+    page += encode_record("k", "value") + encode_record("gone", "");
+    complaint wrong;
+    auto const it = decode_read(page, 8, wrong);
+    CHECK(wrong.empty());
+    CHECK(it.end == 10);
+    CHECK(it.first == 2);
+    REQUIRE(it.records.size() == 2);
+    CHECK(it.records[0].at == 8);
+    CHECK(it.records[0].value == "value");
+    CHECK(it.records[1].key == "gone");
+    CHECK(it.records[1].value.empty());
+    auto const cut = decode_read(page.substr(0, page.size() - 2), 8, wrong);
+    CHECK(cut.records.size() == 1);
+    CHECK_FALSE(wrong.empty());
+}
+
+TEST_CASE("the newest records come with their offsets")
+{
+    complaint wrong;
+    auto const it =
+        decode_newest(R"({"items":[{"key":"a","value":"dmFsdWU=","offset":4}],)"
+                      R"("has_more":true,"end":6})",
+                      wrong);
+    CHECK(wrong.empty());
+    CHECK(it.more);
+    CHECK(it.end == 6);
+    REQUIRE(it.records.size() == 1);
+    CHECK(it.records[0].value == "value");
+    decode_newest("<html>", wrong);
+    CHECK_FALSE(wrong.empty());
+}
+
+TEST_CASE("a duty record survives the store")
+{
+    core::duty_record in{"n1", 7, 9, false, core::usage_report{5, {{"t", 3}}}};
+    complaint skipped;
+    auto const out = decode_duty(encode_duty(in), skipped);
+    CHECK(skipped.empty());
+    CHECK(out.holder == "n1");
+    CHECK(out.fencing == 9);
+    REQUIRE(out.intent);
+    CHECK(out.intent->counts == in.intent->counts);
+}
+
+TEST_CASE("a request is decoded with its route, key and prompt")
+{
+    core::configuration c;
+    std::vector<complaint> skipped;
+    core::install_snapshot(
+        c, decode_configuration({6, "config", configuration_text}, skipped));
+    auto const it = decode_request(request(), "id-1#1", c);
+    CHECK(it.route == "r1");
+    CHECK(it.key_digest == codec::sha256("k1"));
+    CHECK(it.deadline == 2'500ms);
+    CHECK(it.prompt_tokens == 1'460);
+    CHECK(it.answer_tokens == 80);
+    CHECK(it.block_tokens == std::vector{800, 410, 250});
+    auto other = request();
+    std::ranges::replace(other.headers,
+                         std::pair<std::string, std::string>{"Model", "m"},
+                         std::pair<std::string, std::string>{"Model", "n"});
+    CHECK(decode_request(other, "id-2#2", c).prefix_blocks != it.prefix_blocks);
+}
+
+TEST_CASE("a runner gets the caller's headers, but no key and no orders")
+{
+    core::dispatch call;
+    call.endpoint = "i-1";
+    call.organisation = "t1";
+    call.timeout = 1'800ms;
+    call.kind = core::endpoint_kind::model_runner;
+    auto const it = runner_headers(request(), call, std::nullopt);
+    for (auto const* const name :
+         {"Authorization", "Hold", "Pin-Ms", "Kv-From", "Connection", "X-Hop"})
+        CHECK_FALSE(has(it, name));
+    CHECK(value_of(it, "Request-Id") == "id-1");
+    CHECK(value_of(it, "Tenant") == "t1");
+    CHECK(value_of(it, "Expect-Instance") == "i-1");
+    CHECK(value_of(it, "Deadline-Ms") == "1800");
+    CHECK(value_of(it, "Token-Count") == "1460,80");
+    CHECK(value_of(it, "Last-Event-Id") == "12");
+    CHECK(value_of(it, "X-Other") == "2");
+    CHECK(std::ranges::count_if(
+              it, [](auto const& n) { return n.first == "Tenant"; }) == 1);
+    auto const resumed = runner_headers(request(), call, "20");
+    CHECK(value_of(resumed, "Last-Event-Id") == "20");
+}
+
+TEST_CASE("only a runner's own word says that it did not run a request")
+{
+    CHECK(decode_head(1, 503, {{"Not-Executed", "1"}}).not_run);
+    CHECK(decode_head(1, 421, {{"Instance-Id", "i-2"}}).not_run);
+    CHECK_FALSE(decode_head(1, 503, {}).not_run);
+    CHECK_FALSE(decode_head(1, 500, {}).not_run);
+}
+
+TEST_CASE("503 and 429 are said only of what has not run")
+{
+    auto const status = [](int status, core::outcome what) {
+        return refusal_answer(
+                   "id", {status, what, core::step::queue, "", "text", 250ms})
+            .status;
+    };
+    CHECK(status(504, core::outcome::not_run) == 503);
+    CHECK(status(502, core::outcome::not_run) == 503);
+    CHECK(status(429, core::outcome::not_run) == 429);
+    CHECK(status(404, core::outcome::not_run) == 404);
+    CHECK(status(504, core::outcome::outcome_unknown) == 504);
+    CHECK(status(503, core::outcome::outcome_unknown) == 502);
+    auto const it = refusal_answer("id", {503, core::outcome::not_run,
+                                          core::step::queue, "", "", 1'050ms});
+    CHECK(value_of(it.headers, "Retry-After") == "1.050");
+}
+
+TEST_CASE("events are passed on whole, however the bytes are cut")
+{
+    std::string const bytes = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3";
+    for (std::size_t step = 1; step <= bytes.size(); ++step) {
+        event_splitter s;
+        std::vector<stream_event> got;
+        for (std::size_t at = 0; at < bytes.size(); at += step)
+            std::ranges::move(split_events(s, bytes.substr(at, step)),
+                              std::back_inserter(got));
+        REQUIRE(got.size() == 2);
+        CHECK(got[0].bytes == "id: 1\ndata: a\n\n");
+        CHECK(got[0].id == "1");
+        CHECK(got[1].id == "2");
+        CHECK(s.held == "id: 3");
+    }
+}
+
+TEST_CASE("settings that are needed and missing are named")
+{
+    std::string const text = "node_name=n\nzone=z\nip=127.0.0.1\n"
+                             "listen.front=127.0.0.1:1\n"
+                             "listen.readiness=127.0.0.1:2\n"
+                             "internal_ports=7600,7615\n"
+                             "bounds.lease_ms=4000\nnew_field=1\n"
+                             "cloud_api.address=127.0.0.1:4\n"
+                             "cloud_api.duties=usage\n";
+    auto const it = parse_settings(text + "platform.address=127.0.0.1:3\n");
+    CHECK(it.product.core.lease == 4s);
+    CHECK(it.product.peer.port == 7600);
+    CHECK(it.product.core.holds_duties);
+    CHECK_FALSE(it.product.core.plans_fleet);
+    CHECK_THROWS_WITH(parse_settings(text),
+                      Catch::Contains("platform.address"));
+    CHECK_THROWS_WITH(parse_settings(text + "platform.address=127.0.0.1:3\n"
+                                            "bounds.grace_s=long\n"),
+                      Catch::Contains("bounds.grace_s"));
+}
--- /dev/null
+++ b/test/registry_test.cpp
@@ -0,0 +1,225 @@
+// What a registry tells: routes by host and path, endpoints by offset, and the
+// fleet that is ordered from it.
+#include "support/choices.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace papayahook;
+using namespace papayahook::support;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::config_snapshot document(core::offset at)
+{
+    core::config_snapshot out;
+    out.applied = at;
+    out.lists_endpoints = false;
+    for (auto const* const prefix : {"/", "/a/", "/a/b/"}) {
+        core::route r;
+        r.name = prefix;
+        r.host = "h.example";
+        r.path_prefix = prefix;
+        r.pool = "model";
+        r.open = true;
+        out.routes.push_back({r, at});
+    }
+    core::pool p;
+    p.name = "model";
+    p.scaling = core::pool_scaling{1, 12, 4s, 0.22, {}};
+    out.pools.push_back(p);
+    return out;
+}
+
+core::endpoint_entry entry(core::offset at, std::string const& name)
+{
+    core::endpoint_entry out;
+    out.at = at;
+    out.name = name;
+    out.present = true;
+    out.what.name = name;
+    out.what.pool = "model";
+    out.what.address = "10.0.0.1:80";
+    out.what.zone = "zone-a";
+    out.what.incarnation = "1";
+    out.what.kind = core::endpoint_kind::model_runner;
+    out.what.slots = 64;
+    return out;
+}
+
+world start()
+{
+    auto w = make_world(1);
+    give(w, 0, core::config_published{document(101)});
+    return w;
+}
+
+core::request_id ask(world& w)
+{
+    static int n = 0;
+    core::request_arrived e;
+    e.id = "r" + std::to_string(n++);
+    e.route = "/a/";
+    e.prompt_tokens = 1'000;
+    give(w, 0, e);
+    return e.id;
+}
+
+std::string sent_to(world& w)
+{
+    return w.nodes[0].requests.at(ask(w)).endpoint;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of a host takes the request")
+{
+    auto w = start();
+    auto const& c = w.nodes[0].config;
+    CHECK(core::match_route(c, "h.example", "/a/b/c") == "/a/b/");
+    CHECK(core::match_route(c, "h.example", "/a/x") == "/a/");
+    CHECK(core::match_route(c, "h.example", "/x") == "/");
+    CHECK(core::match_route(c, "other.example", "/a/x").empty());
+}
+
+TEST_CASE("an older document changes nothing")
+{
+    auto w = start();
+    auto newer = document(105);
+    newer.routes.pop_back();
+    give(w, 0, core::config_published{newer});
+    give(w, 0, core::config_published{document(103)});
+    CHECK(w.nodes[0].config.applied == 105);
+    CHECK(w.nodes[0].config.routes.size() == 2);
+}
+
+TEST_CASE("an endpoint that drains or is dropped gets no work")
+{
+    auto w = start();
+    give(w, 0, core::endpoint_listed{entry(1, "e1")});
+    CHECK(sent_to(w) == "e1");
+    auto draining = entry(3, "e1");
+    draining.draining = true;
+    give(w, 0, core::endpoint_listed{draining});
+    CHECK(sent_to(w).empty());
+    give(w, 0, core::endpoint_listed{entry(2, "e1")}); // late, by a peer
+    CHECK(sent_to(w).empty());
+    auto reborn = entry(4, "e1");
+    reborn.what.incarnation = "2";
+    give(w, 0, core::endpoint_listed{reborn});
+    CHECK(sent_to(w) == "e1");
+    core::endpoint_entry gone;
+    gone.at = 5;
+    gone.name = "e1";
+    give(w, 0, core::endpoint_listed{gone});
+    CHECK(sent_to(w).empty());
+}
+
+TEST_CASE("an entry that lapsed in an outage may come back")
+{
+    auto w = start();
+    give(w, 0, core::log_reachable{true});
+    give(w, 0, core::endpoint_listed{entry(1, "e1")});
+    give(w, 0, core::log_reachable{false});
+    pass_time(w, 5s);
+    give(w, 0, core::log_reachable{true});
+    core::endpoint_entry gone;
+    gone.at = 2;
+    gone.name = "e1";
+    give(w, 0, core::endpoint_listed{gone});
+    CHECK(sent_to(w) == "e1");
+    pass_time(w, 2'100ms);
+    CHECK(sent_to(w).empty());
+    give(w, 0, core::endpoint_listed{entry(3, "e1")});
+    CHECK(sent_to(w) == "e1");
+}
+
+TEST_CASE("requests about the same thing meet at one endpoint on all nodes")
+{
+    auto w = make_world(3);
+    std::set<std::string> homes;
+    for (std::size_t n = 0; n < 3; ++n) {
+        give(w, n, core::config_published{document(101)});
+        for (int i = 0; i < 9; ++i)
+            give(w, n,
+                 core::endpoint_listed{entry(static_cast<core::offset>(i + 1),
+                                             "e" + std::to_string(i))});
+        core::request_arrived e;
+        e.id = "x" + std::to_string(n);
+        e.route = "/a/";
+        e.prompt_tokens = 9'000;
+        e.prefix_blocks = {11, 22, 33 + n};
+        e.block_tokens = {2'000, 4'000, 3'000};
+        give(w, n, e);
+        homes.insert(w.nodes[n].requests.at(e.id).endpoint);
+    }
+    CHECK(homes.size() == 1);
+}
+
+TEST_CASE("a long prompt goes round an endpoint that reads another one")
+{
+    auto w = start();
+    give(w, 0, core::endpoint_listed{entry(1, "e1")});
+    give(w, 0, core::endpoint_listed{entry(2, "e2")});
+    auto const first = sent_to(w);
+    auto const second = sent_to(w);
+    CHECK(first != second);
+}
+
+TEST_CASE("lasting endpoints stay while reclaimable ones are refused")
+{
+    auto w = start();
+    auto& s = w.nodes[0];
+    s.settings.plans_fleet = true;
+    s.settings.holds_duties = true;
+    s.settings.prefill_per_token = 2ms; // two seconds for each prompt
+    for (int i = 0; i < 6; ++i)
+        give(w, 0,
+             core::endpoint_listed{entry(static_cast<core::offset>(i + 1),
+                                         "e" + std::to_string(i))});
+    give(w, 0, core::duties_read{});
+    std::map<bool, std::vector<int>> ordered; // by kind
+    std::uint64_t end = 0;
+    core::offset listed = 100;
+    bool refuse = true;
+    auto const run = [&](std::chrono::milliseconds time) {
+        for (auto t = 0ms; t < time; t += 50ms) {
+            w.now += 50ms;
+            if (t % 500ms == 0ms)
+                give(w, 0, core::caller_gone{ask(w)});
+            core::effects out;
+            core::reduce(s, {w.now, core::tick{}}, out);
+            for (auto const& it : out) {
+                if (auto const* const a = std::get_if<core::append_duty>(&it)) {
+                    core::duties_read read;
+                    read.entries.push_back({end++, a->record});
+                    read.end = end;
+                    give(w, 0, read);
+                }
+                if (auto const* const o =
+                        std::get_if<core::order_endpoints>(&it)) {
+                    bool const ok = !(o->reclaimable && refuse);
+                    if (ok)
+                        ordered[o->reclaimable].push_back(o->count);
+                    for (int i = 0; ok && o->reclaimable && i < o->count; ++i) {
+                        auto e = entry(listed++, "spare" + std::to_string(i));
+                        e.what.reclaimable = true;
+                        give(w, 0, core::endpoint_listed{e});
+                    }
+                    give(w, 0,
+                         core::endpoints_ordered{o->pool, o->zone,
+                                                 o->reclaimable, o->count, ok,
+                                                 ""});
+                }
+            }
+        }
+    };
+    run(30s);
+    CHECK(std::ranges::all_of(ordered[false], [](int n) { return n >= 6; }));
+    refuse = false;
+    run(40s);
+    CHECK_FALSE(ordered[true].empty());
+    REQUIRE_FALSE(ordered[false].empty());
+    CHECK(ordered[false].back() < 6);
+}
