--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -221,6 +221,8 @@
     r.phase = request_phase::queued;
     auto& queues = s.queues[pool_of(s, r)];
     queues[r.organisation].emplace(r.klass, r.tag, r.asked.id);
+    if (r.attempts == 0)
+        s.queue_joined[pool_of(s, r)] = s.now;
     drain_pool(s, queues, out);
 }
 
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -32,6 +32,7 @@
 // Part of the limit that is kept for organisations within their share.
 constexpr double reserve = 0.2;
 constexpr auto standing = 500ms; // never empty for so long: no burst
+constexpr auto joined_lately = 200ms; // else it only drains
 
 bool is_model(node_state const& s, request_state const& r)
 {
@@ -181,7 +182,11 @@
     return false;
 #endif
     auto const it = s.queue_empty.find(pool);
-    return it != s.queue_empty.end() && it->second + standing <= s.now;
+    auto const joined = s.queue_joined.find(pool);
+    // A queue that nothing joins any more is a burst that is being served.
+    bool const grows = joined != s.queue_joined.end() &&
+                       s.now < joined->second + joined_lately;
+    return grows && it != s.queue_empty.end() && it->second + standing <= s.now;
 }
 
 wait_limits longest_wait(node_state const& s, std::string const& organisation)
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -24,13 +24,14 @@
 // Parts of what may be spent in any window: what is used of it, and how much
 // of that may be saved up and spent at once. The rest sets the rate.
 constexpr double used_part = 0.92;
-constexpr double burst_part = 0.2;
+constexpr double burst_part = 0.25;
 // Parts of the burst: what shares may save up, and what the common account
 // must hold for a request to go without a share.
 constexpr double saved_part = 0.25;
 constexpr double common_part = 0.5;
 constexpr double most_hidden = 0.25; // part of the nodes, out of sight
 constexpr auto fresh_beats = 1.5;
+constexpr double untold_shares = 2; // even shares, between two heartbeats
 constexpr int silent_beats = 3; // heartbeats missed by a peer out of sight
 
 double node_count(node_state const& s)
@@ -172,11 +173,12 @@
     // A request larger than all that can be saved up goes when that is full.
     double const needed = std::min(cost, q.share * saved_part * most);
     bool const in_share = q.left >= needed && q.left > 0;
-    // Until its peers know what it has spent, a node takes no more of the
-    // common account than all nodes could take at once.
+    // Until its peers know what it has spent, a node takes one request or a
+    // part of the common account that most nodes could take at once.
     double const spare = q.common - common_part * most;
-    bool const in_common =
-        spare >= cost && q.untold + cost <= spare / node_count(s);
+    bool const little =
+        q.untold + cost <= untold_shares * spare / node_count(s);
+    bool const in_common = spare >= cost && (little || q.untold == 0);
     if (in_share)
         q.left -= cost;
     else if (in_common)
