--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1152,7 +1152,7 @@
     std::unordered_map<request_id, request_state> requests;
     std::unordered_map<call_id, request_id> calls;
     std::map<std::string, organisation_queues> queues; // by pool
-    std::map<std::string, time_point> queue_empty; // by pool: last seen empty
+    std::map<std::string, time_point> queue_empty;  // by pool: last seen empty
     std::map<std::string, time_point> queue_joined; // by pool: newest entry
     std::map<std::pair<std::string, std::string>, concurrency_limit>
         limits;                                      // by pool and version
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -88,7 +88,8 @@
                 reclaimable)
 PAPAYAHOOK_JSON(route, name, pool, version, klass, repeatable, deadline,
                 progress_timeout, whole_deadline, host, path_prefix, splits,
-                open, streams, resumable, max_attempts, target, stops_with_caller)
+                open, streams, resumable, max_attempts, target,
+                stops_with_caller)
 PAPAYAHOOK_JSON(version_move, name, route, to, deadline, canary_share,
                 min_samples, max_bad_excess, max_latency_ratio)
 PAPAYAHOOK_JSON(move_step, move, stage, end, reason, node)
@@ -165,8 +166,8 @@
 
 PAPAYAHOOK_JSON(hello, protocol, node, incarnation, zone, caller_address, proof)
 PAPAYAHOOK_JSON(endpoint_load, calls, tokens)
-PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, spent, calls, work,
-                usage)
+PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, spent, calls,
+                work, usage)
 PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
 PAPAYAHOOK_JSON(version_veto, move, started, reason)
 PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
@@ -362,10 +363,11 @@
                 prefill_per_token, endpoint_pause, report_horizon,
                 heartbeat_period, peer_timeout, stage_time, move_margin,
                 answer_linger, hand_over_after, hands_over,
-                accept_while_leaving, leave_within, exit_linger, quota_overshoot,
-                quota_slack, quota_window, holds_duties, plans_fleet, lease,
-                usage_window, usage_delay, relist_grace, claim_horizon,
-                append_retry, checkpoint_every, checkpoint_period)
+                accept_while_leaving, leave_within, exit_linger,
+                quota_overshoot, quota_slack, quota_window, holds_duties,
+                plans_fleet, lease, usage_window, usage_delay, relist_grace,
+                claim_horizon, append_retry, checkpoint_every,
+                checkpoint_period)
 PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
                 failed_answers, dispatches, retries, resumed_streams,
                 tokens_recomputed, appends, claims, peer_messages, handed_over,
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -31,8 +31,7 @@
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version);
 // Takes a peer's word on its calls in place of its earlier word.
-void replace_load(node_state& s, heartbeat const& before,
-                  heartbeat const& now);
+void replace_load(node_state& s, heartbeat const& before, heartbeat const& now);
 void note_prefill(node_state& s, request_state& r, endpoint const& e);
 void end_prefill(node_state& s, request_state& r, bool answered);
 bool has_endpoint(node_state const& s, std::string const& pool,
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -31,7 +31,7 @@
 constexpr double endpoint_part = 0.45;
 // Part of the limit that is kept for organisations within their share.
 constexpr double reserve = 0.2;
-constexpr auto standing = 500ms; // never empty for so long: no burst
+constexpr auto standing = 500ms;      // never empty for so long: no burst
 constexpr auto joined_lately = 200ms; // else it only drains
 
 bool is_model(node_state const& s, request_state const& r)
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -32,7 +32,7 @@
 constexpr double most_hidden = 0.25; // part of the nodes, out of sight
 constexpr auto fresh_beats = 1.5;
 constexpr double untold_shares = 2; // even shares, between two heartbeats
-constexpr int silent_beats = 3; // heartbeats missed by a peer out of sight
+constexpr int silent_beats = 3;     // heartbeats missed by a peer out of sight
 
 double node_count(node_state const& s)
 {
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -87,10 +87,9 @@
     // The last answer has ended here; its bytes may still be on their way.
     bool const written = s.now >= s.last_ended + s.settings.exit_linger;
     bool const out_of_time = s.now >= s.leaving_since + s.settings.leave_within;
-    if (out_of_time)
-        out.push_back(exit_process{});
-    else if (callers_know && written && !open && s.appends.empty() &&
-             s.once.batch.empty())
+    bool const nothing_left = callers_know && written && !open &&
+                              s.appends.empty() && s.once.batch.empty();
+    if (nothing_left || out_of_time)
         out.push_back(exit_process{});
 }
 
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -33,7 +33,7 @@
     return may_come_back && !known.entry.draining ? back : s.now;
 }
 
-void describe(node_state const& s, endpoint_entry const& e, effects& out)
+void describe(endpoint_entry const& e, effects& out)
 {
     auto const* const word = !e.present   ? "dropped"
                              : e.draining ? "draining"
@@ -105,7 +105,7 @@
     }
     if (!changed)
         return false;
-    describe(s, known.entry, out);
+    describe(known.entry, out);
     news item;
     item.endpoints.push_back(e);
     spread(s, item, 0, out);
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -106,16 +106,21 @@
 
 std::string wire_of(http_call const& call, target const& to)
 {
-    std::string out = call.method + " " + to.path + " HTTP/1.1\r\n";
+    std::string out;
+    auto const add = [&](auto const&... parts) {
+        ((out += parts), ...);
+    };
+    add(call.method, " ", to.path, " HTTP/1.1\r\n");
     if (header_value(call.headers, "Host").data() == nullptr)
-        out += "Host: " + to.authority + "\r\n";
+        add("Host: ", to.authority, "\r\n");
     for (auto const& [name, value] : call.headers)
-        out += name + ": " + value + "\r\n";
+        add(name, ": ", value, "\r\n");
     bool const sized = !call.body.empty() || call.method == "POST" ||
                        call.method == "PUT" || call.method == "PATCH";
     if (sized)
-        out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
-    return out + "\r\n" + call.body;
+        add("Content-Length: ", std::to_string(call.body.size()), "\r\n");
+    add("\r\n", call.body);
+    return out;
 }
 
 struct transfer
@@ -386,12 +391,11 @@
         bool const extra = used != n;
         if (extra)
             c->parser.flags |= F_CONNECTION_CLOSE;
-        auto const keep = c;
-        report_done(keep);
+        report_done(c);
         if (extra)
-            close(*keep);
-        else if (keep->client && keep->call)
-            read_more(keep); // the rest of the request is still being written
+            close(*c);
+        else if (c->client && c->call)
+            read_more(c); // the rest of the request is still being written
         return;
     }
     if (error != HPE_OK) {
@@ -409,9 +413,8 @@
         http_parser_execute(&c->parser, &callbacks(), nullptr, 0);
         if (c->complete && c->call && c->client) {
             c->parser.flags |= F_CONNECTION_CLOSE;
-            auto const keep = c;
-            report_done(keep);
-            close(*keep);
+            report_done(c);
+            close(*c);
             return;
         }
     }
--- /dev/null
+++ b/tools/check_wire.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# The platform's wire names stand only in platform/ and its tests, and the
+# folder stays small.
+set -euo pipefail
+names='Response-Seal|Not-Executed|Expect-Instance|Token-Count|Prefix-Hash'
+names+='|"Deadline-Ms|Fencing-Token|Duty-Holder|Last-Event-Id|"Tenant"'
+names+='|keyed\.(op|servers|status)|log-(append|read|newest)|spot_price'
+names+='|api_keys|route_type|path_prefix"|max_conns|internal_ports'
+if git grep -nE "$names" -- 'src/*' 'include/*' 'fakes/*' 'bench/*' \
+    'example/*'; then
+    echo "wire names of the platform outside platform/"
+    exit 1
+fi
+lines=$(git ls-files 'platform/*.cpp' 'platform/*.hpp' | xargs cat | wc -l)
+echo "platform: $lines lines, at most 1500"
+[ "$lines" -le 1500 ]
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,6 +5,7 @@
 mapfile -t files < <(git ls-files '*.cpp' '*.hpp')
 clang-format --dry-run --Werror "${files[@]}"
 bash tools/check_events.sh
-git ls-files 'src/*.cpp' 'fakes/*.cpp' |
+bash tools/check_wire.sh
+git ls-files 'src/*.cpp' 'fakes/*.cpp' 'platform/*.cpp' |
     xargs -P 8 -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
 echo "lint: clean"
