--- /dev/null
+++ b/src/codec/event_stream.cpp
@@ -0,0 +1,58 @@
+#include "codec/event_stream.hpp"
+
+#include <algorithm>
+
+namespace papayahook::codec {
+
+namespace {
+
+std::string_view trim(std::string_view it)
+{
+    while (!it.empty() && it.front() == ' ')
+        it.remove_prefix(1);
+    while (!it.empty() && it.back() == ' ')
+        it.remove_suffix(1);
+    return it;
+}
+
+std::vector<std::string_view> split(std::string_view text, char at)
+{
+    std::vector<std::string_view> out;
+    while (!text.empty()) {
+        auto const end = std::min(text.find(at), text.size());
+        out.push_back(trim(text.substr(0, end)));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return out;
+}
+
+} // namespace
+
+std::vector<stream_event> split_events(event_splitter& s, std::string_view data)
+{
+    std::vector<stream_event> out;
+    s.held += data;
+    std::size_t from = 0;
+    for (;;) {
+        auto const lf = s.held.find("\n\n", from);
+        auto const crlf = s.held.find("\r\n\r\n", from);
+        if (lf == s.held.npos && crlf == s.held.npos)
+            break;
+        auto const end = lf < crlf ? lf + 2 : crlf + 4;
+        stream_event it;
+        it.bytes = s.held.substr(from, end - from);
+        for (auto line : split(it.bytes, '\n'))
+            if (line.starts_with("id:")) {
+                line = trim(line.substr(3));
+                if (!line.empty() && line.back() == '\r')
+                    line.remove_suffix(1);
+                it.id = line;
+            }
+        out.push_back(std::move(it));
+        from = end;
+    }
+    s.held.erase(0, from);
+    return out;
+}
+
+} // namespace papayahook::codec
--- a/platform/front.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -1,15 +1,12 @@
 // Callers' connections: requests in, answers out.
-#include "platform/adapter.hpp"
-#include "platform/wire.hpp"
+#include "runtime/gateway.hpp"
 
 #include <asio/post.hpp>
 
-namespace papayahook::platform {
+namespace papayahook::runtime {
 
 namespace {
 
-using runtime::header_value;
-
 bool is_ready(core::node_state const& s)
 {
     bool const knows_endpoints = !s.config.endpoints.empty();
@@ -18,46 +15,44 @@
 
 } // namespace
 
-void adapter::open_front(runtime::node& n)
+void gateway::open(node& n, address const& front, address const& readiness,
+                   address const& metrics)
 {
-    runtime::http_server_options options;
+    http_server_options options;
     options.max_body_bytes = n.set.max_body_bytes;
     options.max_header_bytes = n.set.max_header_bytes;
     options.max_header_count = n.set.max_header_count;
     options.max_connections = n.set.max_connections;
     options.idle_timeout = n.set.idle_timeout;
     options.write_timeout = n.set.write_timeout;
-    auto const listen = [&](runtime::address const& at, auto handler) {
+    auto const listen = [&](address const& at, auto handler) {
         options.address = at.ip;
         options.port = at.port;
-        return std::make_unique<runtime::http_server>(n.io, options,
-                                                      std::move(handler));
+        return std::make_unique<http_server>(n.io, options, std::move(handler));
     };
-    readiness_ = listen(set_.readiness, [this, &n](auto const&, auto out) {
-        on_readiness(n, out);
-    });
-    metrics_ = listen(set_.metrics, [&n](auto const& in, auto out) {
-        runtime::on_admin_request(n, in, out);
+    readiness_ = listen(
+        readiness, [this, &n](auto const&, auto out) { on_readiness(n, out); });
+    metrics_ = listen(metrics, [&n](auto const& in, auto out) {
+        on_admin_request(n, in, out);
     });
     options.on_close = [this, &n](auto id) {
         asio::post(n.io, [this, &n, id] { on_caller_closed(n, id); });
     };
-    front_ = listen(set_.front, [this, &n](auto in, auto out) {
+    front_ = listen(front, [this, &n](auto in, auto out) {
         on_request(n, std::move(in), std::move(out));
     });
 }
 
-void adapter::on_readiness(runtime::node& n, runtime::responder_ptr const& out)
+void gateway::on_readiness(node& n, responder_ptr const& out)
 {
     bool const ready = is_ready(n.state);
     out->send(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
 }
 
-void adapter::on_request(runtime::node& n, runtime::http_request in,
-                         runtime::responder_ptr out)
+void gateway::on_request(node& n, http_request in, responder_ptr out)
 {
     auto const sent_id =
-        std::string(header_value(in.headers, wire::request_id));
+        std::string(header_value(in.headers, dialect_.request_id));
     if (n.state.leaving)
         out->close_after();
     // A caller may use an id twice; each request here has its own.
@@ -66,7 +61,7 @@
         out->send(400, {}, "the request has no id\n");
         return;
     }
-    auto const event = decode_request(in, id, n.state.config);
+    auto const event = dialect_.decode_request(in, id, n.state.config);
     open_caller c;
     c.request_id = sent_id;
     auto const route = n.state.config.routes.find(event.route);
@@ -76,31 +71,31 @@
     c.asked = std::move(in);
     c.out = std::move(out);
     callers_.emplace(id, std::move(c));
-    runtime::handle(n, event);
+    handle(n, event);
 }
 
-void adapter::on_caller_closed(runtime::node& n, std::uint64_t connection)
+void gateway::on_caller_closed(node& n, std::uint64_t connection)
 {
     auto const node = by_connection_.extract(connection);
     if (node.empty() || callers_.erase(node.mapped()) == 0)
         return;
-    runtime::handle(n, core::caller_gone{node.mapped()});
+    handle(n, core::caller_gone{node.mapped()});
 }
 
-void adapter::carry_out(runtime::node& n, core::refuse const& it)
+void gateway::carry_out(node& n, core::refuse const& it)
 {
     auto const node = callers_.extract(it.id);
     if (node.empty())
         return;
     auto& c = node.mapped();
     by_connection_.erase(c.asked.connection_id);
-    auto answer = refusal_answer(c.request_id, it.why);
+    auto answer = dialect_.refusal_answer(c.request_id, it.why);
     if (n.state.leaving)
         c.out->close_after();
     c.out->send(answer.status, answer.headers, std::move(answer.body));
 }
 
-void adapter::carry_out(runtime::node&, core::send_head const& it)
+void gateway::carry_out(node&, core::send_head const& it)
 {
     auto const found = callers_.find(it.id);
     if (found == callers_.end())
@@ -109,7 +104,7 @@
     found->second.headers = it.headers;
 }
 
-void adapter::carry_out(runtime::node& n, core::send_chunk const& it)
+void gateway::carry_out(node& n, core::send_chunk const& it)
 {
     auto const found = callers_.find(it.id);
     if (found == callers_.end())
@@ -122,8 +117,7 @@
 }
 
 // Events that come in one turn of the loop leave in one write.
-void adapter::post_flush(runtime::node& n, core::request_id const& id,
-                         open_caller& c)
+void gateway::post_flush(node& n, core::request_id const& id, open_caller& c)
 {
     if (c.flush_posted)
         return;
@@ -131,7 +125,7 @@
     asio::post(n.io, [this, &n, id] { flush(n, id); });
 }
 
-void adapter::flush(runtime::node& n, core::request_id const& id)
+void gateway::flush(node& n, core::request_id const& id)
 {
     auto const found = callers_.find(id);
     if (found == callers_.end())
@@ -149,12 +143,12 @@
     c.out->write(std::move(c.pending),
                  [this, &n, id, index = c.next_index](auto ec) {
                      if (!ec && callers_.contains(id))
-                         runtime::handle(n, core::caller_drained{id, index});
+                         handle(n, core::caller_drained{id, index});
                  });
     c.pending.clear();
 }
 
-void adapter::carry_out(runtime::node& n, core::finish_answer const& it)
+void gateway::carry_out(node& n, core::finish_answer const& it)
 {
     auto const found = callers_.find(it.id);
     if (found == callers_.end())
@@ -173,7 +167,7 @@
     c.out->send(c.status, c.headers, std::move(c.pending));
 }
 
-void adapter::carry_out(runtime::node& n, core::fail_answer const& it)
+void gateway::carry_out(node& n, core::fail_answer const& it)
 {
     auto const found = callers_.find(it.id);
     if (found == callers_.end())
@@ -189,4 +183,4 @@
     node.mapped().out->abort();
 }
 
-} // namespace papayahook::platform
+} // namespace papayahook::runtime
--- /dev/null
+++ b/src/runtime/gateway_calls.cpp
@@ -0,0 +1,151 @@
+// Calls to endpoints and what comes back from them.
+#include "runtime/gateway.hpp"
+
+namespace papayahook::runtime {
+
+namespace {
+
+constexpr std::string_view event_stream = "text/event-stream";
+
+core::step step_of(std::string const& name)
+{
+    if (name == "connect")
+        return core::step::connect;
+    if (name == "send")
+        return core::step::send;
+    return core::step::receive;
+}
+
+} // namespace
+
+void gateway::carry_out(node& n, core::dispatch const& it)
+{
+    auto const found = callers_.find(it.id);
+    if (found == callers_.end()) {
+        handle(n, core::call_failed{it.call, core::step::send, false,
+                                    "its caller has gone"});
+        return;
+    }
+    auto const& c = found->second;
+    http_call call;
+    call.method = c.asked.method;
+    call.url = "http://" + it.address + c.asked.target;
+    call.headers = dialect_.call_headers(c.asked, it, c.last_event);
+    call.body = c.asked.body;
+    call.peer = it.endpoint + "/" + it.incarnation;
+    call.echo = {dialect_.request_id, c.request_id};
+    call.connect_timeout = n.set.connect_timeout;
+    call.fresh_connection = it.fresh_connection;
+    auto const id = it.call;
+    call.on_head = [this, id](int status, header_list const& headers) {
+        on_call_head(id, status, headers);
+    };
+    call.on_data = [this, &n, id](std::string_view data) {
+        on_call_data(n, id, data);
+    };
+    call.on_done = [this, &n, id](http_result const& result) {
+        on_call_done(n, id, result);
+    };
+    gateway_call r;
+    r.request = it.id;
+    r.next_index = it.resume_chunks.size();
+    r.transfer = n.client.start(std::move(call));
+    calls_.emplace(id, std::move(r));
+}
+
+void gateway::carry_out(node& n, core::cancel_call const& it)
+{
+    auto const node = calls_.extract(it.call);
+    if (!node.empty())
+        n.client.cancel(node.mapped().transfer);
+}
+
+void gateway::carry_out(node& n, core::pause_call const& it)
+{
+    auto const found = calls_.find(it.call);
+    if (found != calls_.end())
+        n.client.pause(found->second.transfer);
+}
+
+void gateway::carry_out(node& n, core::resume_call const& it)
+{
+    auto const found = calls_.find(it.call);
+    if (found != calls_.end())
+        n.client.resume(found->second.transfer);
+}
+
+void gateway::on_call_head(core::call_id call, int status,
+                           header_list const& headers)
+{
+    auto const found = calls_.find(call);
+    if (found == calls_.end())
+        return;
+    auto& r = found->second;
+    r.head = dialect_.decode_head(call, status, headers);
+    r.streams = status == 200 && !r.head.not_run &&
+                r.head.content_type.starts_with(event_stream);
+}
+
+void gateway::on_call_data(node& n, core::call_id call, std::string_view data)
+{
+    auto found = calls_.find(call);
+    if (found == calls_.end())
+        return;
+    if (!found->second.streams) {
+        found->second.body += data;
+        return;
+    }
+    auto const events = codec::split_events(found->second.events, data);
+    for (auto const& it : events) {
+        found = calls_.find(call);
+        if (found == calls_.end())
+            return; // an event before this one ended the call
+        auto& r = found->second;
+        auto const index = r.next_index++;
+        bool const first = !std::exchange(r.head_given, true);
+        auto const head = r.head;
+        auto const caller = callers_.find(r.request);
+        if (caller != callers_.end() && !it.id.empty())
+            caller->second.last_event = it.id;
+        if (first)
+            handle(n, head);
+        handle(n, core::answer_chunk{call, index, it.bytes});
+    }
+}
+
+void gateway::on_call_done(node& n, core::call_id call,
+                           http_result const& result)
+{
+    auto const node = calls_.extract(call);
+    if (node.empty())
+        return;
+    auto& r = node.mapped();
+    if (result.error) {
+        handle(n,
+               core::call_failed{call, step_of(result.step),
+                                 result.may_have_run, result.error.message()});
+        return;
+    }
+    if (!r.head_given)
+        handle(n, r.head);
+    // Answers that are no streams go out whole or not at all.
+    auto rest = r.streams ? std::move(r.events.held) : std::move(r.body);
+    if (!r.streams || !rest.empty())
+        handle(n, core::answer_chunk{call, r.next_index++, std::move(rest)});
+    handle(n, core::answer_end{call, r.next_index});
+}
+
+bool gateway::perform(node& n, core::effect const& effect)
+{
+    return std::visit(
+        [&](auto const& it) {
+            if constexpr (requires { this->carry_out(n, it); }) {
+                carry_out(n, it);
+                return true;
+            }
+            return false;
+        },
+        effect);
+}
+
+} // namespace papayahook::runtime
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -142,10 +142,15 @@
 
 } // namespace
 
+bool same_name(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, {}, lower, lower);
+}
+
 std::string_view header_value(header_list const& headers, std::string_view name)
 {
     auto const it = std::ranges::find_if(headers, [&](auto const& header) {
-        return std::ranges::equal(header.first, name, {}, lower, lower);
+        return same_name(header.first, name);
     });
     return it == headers.end() ? std::string_view{} : it->second;
 }
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -16,6 +16,9 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+// Names of headers are compared without case.
+bool same_name(std::string_view a, std::string_view b);
+
 // First value of a header, compared without case; empty when absent.
 std::string_view header_value(header_list const& headers,
                               std::string_view name);
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/exchange.hpp"
 #include "platform/settings.hpp"
 
+#include "codec/event_stream.hpp"
 #include "codec/json.hpp"
 
 #include <algorithm>
@@ -270,10 +271,10 @@
 {
     std::string const bytes = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3";
     for (std::size_t step = 1; step <= bytes.size(); ++step) {
-        event_splitter s;
-        std::vector<stream_event> got;
+        codec::event_splitter s;
+        std::vector<codec::stream_event> got;
         for (std::size_t at = 0; at < bytes.size(); at += step)
-            std::ranges::move(split_events(s, bytes.substr(at, step)),
+            std::ranges::move(codec::split_events(s, bytes.substr(at, step)),
                               std::back_inserter(got));
         REQUIRE(got.size() == 2);
         CHECK(got[0].bytes == "id: 1\ndata: a\n\n");
