--- /dev/null
+++ b/src/codec/text.hpp
@@ -0,0 +1,15 @@
+// Small cuts of text that several decoders need.
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+namespace papayahook::codec {
+
+// Without blanks at both ends.
+std::string_view trim(std::string_view it);
+
+// The trimmed pieces between separators; none for an empty text.
+std::vector<std::string_view> split(std::string_view text, char at);
+
+} // namespace papayahook::codec
--- a/src/runtime/endpoints.cpp
+++ b/src/runtime/endpoints.cpp
@@ -24,15 +24,6 @@
                                    "Upgrade",
                                    "Expect"};
 
-core::step step_of(std::string const& name)
-{
-    if (name == "connect")
-        return core::step::connect;
-    if (name == "send")
-        return core::step::send;
-    return core::step::receive;
-}
-
 header_list passed_headers(http_request const& in)
 {
     header_list out;
@@ -164,6 +155,15 @@
 
 } // namespace
 
+core::step step_of(std::string const& name)
+{
+    if (name == "connect")
+        return core::step::connect;
+    if (name == "send")
+        return core::step::send;
+    return core::step::receive;
+}
+
 void perform(node& n, core::dispatch const& it)
 {
     auto const found = n.requests.find(it.id);
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -18,13 +18,7 @@
 void gateway::open(node& n, address const& front, address const& readiness,
                    address const& metrics)
 {
-    http_server_options options;
-    options.max_body_bytes = n.set.max_body_bytes;
-    options.max_header_bytes = n.set.max_header_bytes;
-    options.max_header_count = n.set.max_header_count;
-    options.max_connections = n.set.max_connections;
-    options.idle_timeout = n.set.idle_timeout;
-    options.write_timeout = n.set.write_timeout;
+    auto options = listener_options(n.set);
     auto const listen = [&](address const& at, auto handler) {
         options.address = at.ip;
         options.port = at.port;
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -7,15 +7,6 @@
 
 constexpr std::string_view event_stream = "text/event-stream";
 
-core::step step_of(std::string const& name)
-{
-    if (name == "connect")
-        return core::step::connect;
-    if (name == "send")
-        return core::step::send;
-    return core::step::receive;
-}
-
 } // namespace
 
 void gateway::carry_out(node& n, core::dispatch const& it)
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -175,15 +175,9 @@
 
 void open_own_interfaces(node& n)
 {
-    http_server_options options;
+    auto options = listener_options(n.set);
     options.address = n.set.caller.ip;
     options.port = n.set.caller.port;
-    options.max_body_bytes = n.set.max_body_bytes;
-    options.max_header_bytes = n.set.max_header_bytes;
-    options.max_header_count = n.set.max_header_count;
-    options.max_connections = n.set.max_connections;
-    options.idle_timeout = n.set.idle_timeout;
-    options.write_timeout = n.set.write_timeout;
     options.on_close = [&n](auto id) {
         asio::post(n.io, [&n, id] { on_caller_closed(n, id); });
     };
@@ -251,6 +245,18 @@
         std::chrono::duration_cast<std::chrono::system_clock::duration>(run));
 }
 
+http_server_options listener_options(settings const& it)
+{
+    http_server_options out;
+    out.max_body_bytes = it.max_body_bytes;
+    out.max_header_bytes = it.max_header_bytes;
+    out.max_header_count = it.max_header_count;
+    out.max_connections = it.max_connections;
+    out.idle_timeout = it.idle_timeout;
+    out.write_timeout = it.write_timeout;
+    return out;
+}
+
 void after(node& n, std::chrono::milliseconds delay, std::function<void()> act)
 {
     auto timer = std::make_shared<asio::steady_timer>(n.io, delay);
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -98,6 +98,9 @@
 void handle(node& n, event_body what);
 void after(node& n, std::chrono::milliseconds delay, std::function<void()> act);
 
+// Limits of a listener by the settings; address and handlers are to be set.
+http_server_options listener_options(settings const& it);
+
 // callers.cpp
 void on_caller_request(node& n, http_request in, responder_ptr out);
 void on_caller_closed(node& n, std::uint64_t connection_id);
@@ -126,6 +129,8 @@
 void take_message(node& n, core::hand_over const& it);
 
 // endpoints.cpp
+// Where a call failed, from http_result::step.
+core::step step_of(std::string const& name);
 void perform(node& n, core::dispatch const& it);
 void perform(node& n, core::cancel_call const& it);
 void perform(node& n, core::pause_call const& it);
