--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -32,7 +32,7 @@
 // Part of the limit that is kept for organisations within their share.
 constexpr double reserve = 0.2;
 constexpr auto standing = 500ms;      // never empty for so long: no burst
-constexpr auto joined_lately = 200ms; // else it only drains
+constexpr auto joined_lately = 250ms; // else it only drains
 
 bool is_model(node_state const& s, request_state const& r)
 {
