Remove what nobody calls from the HTTP client

Ruled out: behaviour; idle connections of a runner that has gone end by their own limit of 4 s, as before.

--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -151,7 +151,6 @@
     std::map<std::uint64_t, connection_ptr> open; // by transfer
     std::map<std::string, std::list<connection_ptr>> idle;
     std::uint64_t next_id = 1;
-    std::uint64_t opened = 0;
 };
 
 namespace {
@@ -182,7 +181,6 @@
     bool reading = false;
     bool writing = false;
     bool complete = false; // the answer has ended
-    bool in_parser = false;
     bool head_seen = false;
     clock::time_point usable_until{};
 };
@@ -378,10 +376,8 @@
         fail(c, make_error(fault::unasked_bytes), "receive");
         return;
     }
-    c->in_parser = true;
     auto const used =
         http_parser_execute(&c->parser, &callbacks(), c->buf.data(), n);
-    c->in_parser = false;
     if (!c->client || !c->call)
         return; // cancelled meanwhile
     auto const error = HTTP_PARSER_ERRNO(&c->parser);
@@ -573,7 +569,6 @@
         return id;
     }
     c = std::make_shared<connection>(impl_, key);
-    impl_->opened++;
     c->call = std::move(t);
     impl_->open[id] = c;
     limit_time(c, c->call->call.connect_timeout, "connect");
@@ -611,21 +606,6 @@
         read_more(it->second);
 }
 
-void http_client::forget(std::string const& peer)
-{
-    std::vector<connection_ptr> gone;
-    for (auto const& [key, list] : impl_->idle)
-        if (key.ends_with("/" + peer))
-            gone.insert(gone.end(), list.begin(), list.end());
-    for (auto const& c : gone)
-        close(*c);
-}
-
-std::uint64_t http_client::connections_opened() const
-{
-    return impl_->opened;
-}
-
 http_answer fetch(http_call call)
 {
     asio::io_context io;
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -45,9 +45,6 @@
     void cancel(std::uint64_t id); // on_done is not called any more
     void pause(std::uint64_t id);  // stop reading: back-pressure
     void resume(std::uint64_t id);
-    // Closes the idle connections to a peer that has gone.
-    void forget(std::string const& peer);
-    std::uint64_t connections_opened() const;
 
     struct impl;
 
