--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -75,7 +75,7 @@
     if (full.contains(wanted))
         return false;
     auto const endpoint = has_room(s, pool_of(s, r), version, in_share)
-                              ? choose_endpoint(s, r, version)
+                              ? choose_endpoint(s, r, version, in_share)
                               : std::string{};
     if (endpoint.empty()) {
         full.insert(wanted);
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -29,7 +29,7 @@
 // routing.cpp: which endpoint
 bool is_leaving(node_state const& s, endpoint const& e);
 std::string choose_endpoint(node_state& s, request_state const& r,
-                            std::string const& version);
+                            std::string const& version, bool in_share);
 // Takes a peer's word on its calls in place of its earlier word.
 void replace_load(node_state& s, heartbeat const& before, heartbeat const& now);
 void note_prefill(node_state& s, request_state& r, endpoint const& e);
@@ -42,6 +42,10 @@
 bool learn_leaving(node_state& s, endpoint_leaving const& e, effects& out);
 
 // limits.cpp: how much work endpoints get, and how long work may wait
+
+// Part of a node's limit and of an endpoint's slots that is kept for
+// organisations within their share.
+inline constexpr double share_reserve = 0.25;
 bool has_room(node_state& s, std::string const& pool,
               std::string const& version, bool in_share);
 // Whether an organisation has at most its weighted share of what is open.
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -29,8 +29,6 @@
 constexpr double wait_part = 0.2;
 constexpr double wait_part_in_share = 0.35;
 constexpr double endpoint_part = 0.45;
-// Part of the limit that is kept for organisations within their share.
-constexpr double reserve = 0.2;
 constexpr auto standing = 500ms;      // never empty for so long: no burst
 constexpr auto joined_lately = 250ms; // else it only drains
 
@@ -97,33 +95,92 @@
         it.limit = 0;
 }
 
-} // namespace
-
-bool is_in_share(node_state const& s, std::string const& organisation)
+// Open requests and weights, of one organisation or of several.
+struct usage
 {
-    double weights = 0;
     double open = 0;
+    double weight = 0;
+};
+
+double per_weight(usage const& it)
+{
+    return it.weight <= 0 ? 0 : it.open / it.weight;
+}
+
+// Of all organisations with open requests, the lightest user first.
+std::vector<usage> usages(node_state const& s)
+{
+    std::vector<usage> out;
     for (auto const& [name, n] : s.in_flight) {
         auto const it = s.config.organisations.find(name);
-        if (n == 0 || it == s.config.organisations.end())
-            continue;
-        weights += it->second.value.weight;
-        open += n;
+        if (n > 0 && it != s.config.organisations.end())
+            out.push_back({static_cast<double>(n), it->second.value.weight});
+    }
+    std::ranges::sort(out, {}, per_weight);
+    return out;
+}
+
+usage sum_of(std::vector<usage> const& all)
+{
+    usage out;
+    for (auto const& it : all) {
+        out.open += it.open;
+        out.weight += it.weight;
     }
+    return out;
+}
+
+// Open requests per unit of weight up to which an organisation is within its
+// share. Organisations that use less than an even part leave the rest to the
+// others (max-min fairness over all but the reserve), so one with a few
+// requests more than its mean is not taken for the one that floods.
+double fair_level(node_state const& s)
+{
+    auto const all = usages(s);
+    auto left = sum_of(all);
+    double const even = per_weight(left);
+    left.open *= 1 - share_reserve;
+    for (auto const& it : all) {
+        if (per_weight(it) > per_weight(left))
+            break;
+        left.open -= it.open;
+        left.weight -= it.weight;
+    }
+    return std::max(even, per_weight(left));
+}
+
+// One organisation has far more than an even part of what is open.
+bool is_flooded(node_state const& s)
+{
+    constexpr double far_more = 2;
+    auto const all = usages(s);
+    return !all.empty() &&
+           per_weight(all.back()) > far_more * per_weight(sum_of(all));
+}
+
+} // namespace
+
+bool is_in_share(node_state const& s, std::string const& organisation)
+{
     auto const it = s.config.organisations.find(organisation);
     auto const own = s.in_flight.find(organisation);
     if (it == s.config.organisations.end() || own == s.in_flight.end())
         return false;
-    return own->second * weights <= it->second.value.weight * open;
+    return own->second <= fair_level(s) * it->second.value.weight;
 }
 
 bool has_room(node_state& s, std::string const& pool,
               std::string const& version, bool in_share)
 {
     auto& it = s.limits[{pool, version}];
-    double const kept = in_share ? 0 : std::max(1.0, reserve * it.limit);
+    // Beside a flood a limit falls for what the flood has open, so those within
+    // their share may exceed it by the reserve.
+    double const kept = std::max(1.0, share_reserve * it.limit);
+    double const most = !in_share       ? it.limit - kept
+                        : is_flooded(s) ? it.limit + kept
+                                        : it.limit;
     bool const room =
-        it.limit == 0 || it.in_flight == 0 || it.in_flight + kept < it.limit;
+        it.limit == 0 || it.in_flight == 0 || it.in_flight < most;
     it.reached = it.reached || !room;
     return room;
 }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -271,8 +271,15 @@
     r.prefill_tokens = 0;
 }
 
+// Organisations above their share leave some slots of each endpoint to those
+// within theirs, who then find room at once beside a flood.
+double usable_slots(endpoint const& e, bool in_share)
+{
+    return in_share ? e.slots : (1 - share_reserve) * e.slots;
+}
+
 std::string choose_endpoint(node_state& s, request_state const& r,
-                            std::string const& version)
+                            std::string const& version, bool in_share)
 {
     auto const wanted = pool_of(s, r);
     auto const pool = load_of_pool(s, wanted);
@@ -287,7 +294,7 @@
             continue;
         auto const& known = s.endpoints[name];
         auto const load = estimate_load(s, e, known, pool);
-        bool const has_room = load.seen < e.slots;
+        bool const has_room = load.seen < usable_slots(e, in_share);
         if (known.paused_until > s.now || !has_room)
             continue;
         bool const untried = std::ranges::find(r.tried, name) == r.tried.end();
