Move whole services to a version as the platform's operators order it

Cause: the platform's roll-outs were not read, so one of the product's three outcomes (a version move finishes by its deadline or is taken back) did not hold there, and a bad version would have got its full share. Change: core/pool_moves decides the steps from the evidence, veto and counted share of core/moves; the lease holder appends each step to the "duties" stream before it is told; peers pass orders and steps on, so that a node that the store turns away moves with the others. platform/ decodes the order and encodes the state. Ruled out: a stream of claims by rank (needs a second way to agree); the four stages of route moves (a version that turns bad late had more than a tenth).

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -263,6 +263,19 @@
 using usage_counts =
     std::map<std::int64_t, std::map<std::string, std::uint64_t>>;
 
+// Moves a pool's traffic to another version by a deadline. What is known of it
+// only grows: its stage, then its end. A higher order takes its place.
+struct pool_move
+{
+    offset order = 0; // at which the operator's order stands
+    std::string pool;
+    std::string to; // version
+    time_point deadline{};
+    int stage = 0; // 0: a small share goes to the version, 1: all
+    std::optional<move_end> end;
+    std::string reason;
+};
+
 struct usage_report
 {
     std::int64_t window = 0;
@@ -278,6 +291,7 @@
     std::uint64_t fencing = 0; // offset at which the holder took the lease
     bool release = false;      // the holder gives the lease up
     std::optional<usage_report> intent;
+    std::optional<pool_move> move; // goes on a stage, or ends
 };
 
 struct duty_entry
@@ -481,9 +495,15 @@
     std::vector<log_entry> entries;
 };
 
+// Spreads like news: each node passes on what it did not know.
+struct pool_moves
+{
+    std::vector<pool_move> moves;
+};
+
 using peer_message =
     std::variant<hello, heartbeat, news, config_request, config_records,
-                 config_snapshot, hand_over, hand_over_answer>;
+                 config_snapshot, hand_over, hand_over_answer, pool_moves>;
 
 // ---------------------------------------------------------------------------
 // [5] Events
@@ -648,6 +668,21 @@
     bool ok = false;
 };
 
+// An operator's order to move a pool to a version.
+struct pool_move_ordered
+{
+    offset at = 0;
+    std::string pool;
+    std::string to;
+    std::chrono::milliseconds within{}; // from now
+};
+
+struct pool_move_reported
+{
+    pool_move what;
+    bool ok = false;
+};
+
 struct shutdown_requested
 {
 };
@@ -665,7 +700,8 @@
                  peer_closed, endpoint_report, instance_list, relay_ended,
                  config_published, endpoint_listed, nodes_listed, duties_read,
                  duty_append_done, usage_reported, endpoints_ordered,
-                 shutdown_requested, tick>
+                 pool_move_ordered, pool_move_reported, shutdown_requested,
+                 tick>
         what;
 };
 
@@ -786,6 +822,12 @@
     usage_report what;
 };
 
+// Tells the operator how a move of a pool stands.
+struct report_pool_move
+{
+    pool_move what;
+};
+
 // A numbered event for the log; catalogue in docs/EVENTS.md.
 struct log_event
 {
@@ -805,11 +847,11 @@
 {
 };
 
-using effect =
-    std::variant<refuse, dispatch, cancel_call, pause_call, resume_call,
-                 send_head, send_chunk, finish_answer, fail_answer, relay,
-                 append, send_peer, close_peer, append_duty, report_usage,
-                 order_endpoints, log_event, wake, exit_process>;
+using effect = std::variant<refuse, dispatch, cancel_call, pause_call,
+                            resume_call, send_head, send_chunk, finish_answer,
+                            fail_answer, relay, append, send_peer, close_peer,
+                            append_duty, report_usage, order_endpoints,
+                            report_pool_move, log_event, wake, exit_process>;
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
@@ -884,7 +926,8 @@
 struct move_state
 {
     version_move spec;
-    std::string from;
+    std::string pool; // set: of all its requests, not of one route
+    std::string from; // of a pool: empty until the end, all but spec.to
     int stage = 0;
     std::optional<move_end> end;
     std::string reason;
@@ -900,6 +943,9 @@
     std::map<std::string, move_counts> others; // by node
     std::uint64_t offered = 0; // requests of the route seen in this stage
     std::uint64_t sent_to = 0; // of these, to the new version
+    bool recorded = false;     // of a pool: stands on the "duties" stream
+    int reports_left = 0;      // likewise: to the operator, of its state
+    time_point report_at{};    // not before
 };
 
 struct configuration
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -102,7 +102,9 @@
                 endpoints, routes, moves)
 PAPAYAHOOK_JSON(endpoint_entry, at, name, present, draining, what)
 PAPAYAHOOK_JSON(usage_report, window, counts)
-PAPAYAHOOK_JSON(duty_record, holder, incarnation, fencing, release, intent)
+PAPAYAHOOK_JSON(pool_move, order, pool, to, deadline, stage, end, reason)
+PAPAYAHOOK_JSON(duty_record, holder, incarnation, fencing, release, intent,
+                move)
 PAPAYAHOOK_JSON(duty_entry, at, record)
 
 // JSON text holds only UTF-8: other bodies go as hexadecimal digits.
@@ -176,6 +178,7 @@
 PAPAYAHOOK_JSON(move_counts, move, node, incarnation, started, stage, from, to)
 PAPAYAHOOK_JSON(successor_news, node, incarnation, successor)
 PAPAYAHOOK_JSON(news, leaving, vetoes, members, counts, successors, endpoints)
+PAPAYAHOOK_JSON(pool_moves, moves)
 PAPAYAHOOK_JSON(config_request, from)
 
 // A variant is an object of its alternative with its name under "type".
@@ -199,6 +202,7 @@
 PAPAYAHOOK_NAME(config_records)
 PAPAYAHOOK_NAME(hand_over)
 PAPAYAHOOK_NAME(hand_over_answer)
+PAPAYAHOOK_NAME(pool_moves)
 PAPAYAHOOK_NAME(request_arrived)
 PAPAYAHOOK_NAME(caller_gone)
 PAPAYAHOOK_NAME(caller_drained)
@@ -223,6 +227,8 @@
 PAPAYAHOOK_NAME(duty_append_done)
 PAPAYAHOOK_NAME(usage_reported)
 PAPAYAHOOK_NAME(endpoints_ordered)
+PAPAYAHOOK_NAME(pool_move_ordered)
+PAPAYAHOOK_NAME(pool_move_reported)
 PAPAYAHOOK_NAME(shutdown_requested)
 PAPAYAHOOK_NAME(tick)
 PAPAYAHOOK_NAME(refuse)
@@ -241,6 +247,7 @@
 PAPAYAHOOK_NAME(append_duty)
 PAPAYAHOOK_NAME(report_usage)
 PAPAYAHOOK_NAME(order_endpoints)
+PAPAYAHOOK_NAME(report_pool_move)
 PAPAYAHOOK_NAME(log_event)
 PAPAYAHOOK_NAME(wake)
 PAPAYAHOOK_NAME(exit_process)
@@ -335,6 +342,8 @@
 PAPAYAHOOK_JSON(duty_append_done, ok)
 PAPAYAHOOK_JSON(usage_reported, window, ok)
 PAPAYAHOOK_JSON(endpoints_ordered, pool, zone, reclaimable, count, ok, why)
+PAPAYAHOOK_JSON(pool_move_ordered, at, pool, to, within)
+PAPAYAHOOK_JSON(pool_move_reported, what, ok)
 PAPAYAHOOK_JSON(event, at, what)
 PAPAYAHOOK_JSON(refuse, id, why)
 PAPAYAHOOK_JSON(dispatch, id, call, endpoint, address, kind, version,
@@ -354,6 +363,7 @@
 PAPAYAHOOK_JSON(append_duty, at, record)
 PAPAYAHOOK_JSON(report_usage, fencing, what)
 PAPAYAHOOK_JSON(order_endpoints, fencing, pool, zone, reclaimable, count)
+PAPAYAHOOK_JSON(report_pool_move, what)
 PAPAYAHOOK_JSON(wake, at)
 PAPAYAHOOK_JSON(log_event, number, subject, peer, detail)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
@@ -406,6 +416,7 @@
     json out =
         core::move_snapshot{m.spec,   m.from,    m.stage,    m.end,
                             m.reason, m.started, m.revision, m.stage_since};
+    out["pool"] = m.pool;
     out["vetoed"] = m.vetoed;
     out["own_from"] = m.own_from;
     out["own_to"] = m.own_to;
@@ -524,6 +535,20 @@
     });
 }
 
+std::string duty_to_json(core::duty_record const& it)
+{
+    return json(it).dump();
+}
+
+core::duty_record duty_from_json(std::string const& text)
+{
+    return parsed("duty", [&] {
+        auto const j = json::parse(text);
+        j.at("holder"); // the one field without which the rest says nothing
+        return j.get<core::duty_record>();
+    });
+}
+
 std::string settings_to_line(core::node_settings const& it)
 {
     return json(it).dump();
--- a/src/codec/json.hpp
+++ b/src/codec/json.hpp
@@ -23,6 +23,10 @@
 core::log_read read_from_json(std::string const& stream,
                               std::string const& text);
 
+// A record of the "duties" stream.
+std::string duty_to_json(core::duty_record const& it);
+core::duty_record duty_from_json(std::string const& text);
+
 std::string settings_to_line(core::node_settings const& it);
 core::node_settings settings_from_line(std::string const& line);
 
--- a/src/codec/text.cpp
+++ b/src/codec/text.cpp
@@ -1,5 +1,9 @@
 #include "codec/text.hpp"
 
+#include <algorithm>
+#include <openssl/evp.h>
+#include <stdexcept>
+
 #include <algorithm>
 
 namespace papayahook::codec {
@@ -24,4 +28,19 @@
     return out;
 }
 
+std::string decode_base64(std::string const& text)
+{
+    std::string out(text.size(), '\0');
+    int const n =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<unsigned char const*>(text.data()),
+                        static_cast<int>(text.size()));
+    if (n < 0)
+        throw std::invalid_argument("value: base64 is expected");
+    auto const padding =
+        std::min<std::ptrdiff_t>(2, std::ranges::count(text, '='));
+    out.resize(static_cast<std::size_t>(n) - static_cast<std::size_t>(padding));
+    return out;
+}
+
 } // namespace papayahook::codec
--- a/src/codec/text.hpp
+++ b/src/codec/text.hpp
@@ -12,4 +12,7 @@
 // The trimmed pieces between separators; none for an empty text.
 std::vector<std::string_view> split(std::string_view text, char at);
 
+// Throws std::invalid_argument for what is no base64.
+std::string decode_base64(std::string const& text);
+
 } // namespace papayahook::codec
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -107,15 +107,8 @@
     }
     if (it.stage != m.stage + 1 || it.stage > last_stage)
         return "not the next stage";
-    m.stage = it.stage;
     m.revision = entry.at;
-    m.stage_since = entry.written;
-    m.own_to = {};
-    m.others.clear();
-    m.offered = 0;
-    m.sent_to = 0;
-    m.step_due_since = {};
-    m.step_asked_at = {};
+    enter_stage(m, it.stage, entry.written);
     return {};
 }
 
--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -144,6 +144,12 @@
     }
     report_next(s, out);
     plan_fleet(s, out);
+    report_pool_moves(s, out);
+    if (auto step = due_pool_step(s)) {
+        duty_record record;
+        record.move = std::move(step);
+        append(s, std::move(record), out);
+    }
     auto const renew_at =
         d.held_until - part(s, held_part) + part(s, renew_part);
     if (s.now >= renew_at)
@@ -155,6 +161,8 @@
     auto& d = s.duties;
     d.newest = e.record;
     d.newest_seen = s.now;
+    if (e.record.move)
+        learn_pool_record(s, *e.record.move, out);
     if (e.record.intent) {
         d.intents[e.record.intent->window] = *e.record.intent;
         d.reported_to = std::max(d.reported_to, e.record.intent->window + 1);
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -153,6 +153,36 @@
 bool learn_counts(node_state& s, move_counts const& e);
 std::vector<move_counts> own_counts(node_state const& s);
 
+enum class verdict
+{
+    open,
+    good,
+    bad,
+};
+verdict judge(move_state const& m);
+// What all nodes have seen of both versions, in words.
+std::string evidence(move_state const& m);
+// Learns the word of this node and of others that a version is bad.
+void check_veto(node_state& s, move_state& m, effects& out);
+version_counts sum_of(move_state const& m, bool new_version);
+void enter_stage(move_state& m, int stage, time_point now);
+
+// pool_moves.cpp: moves of whole pools, one step at a time by the lease holder
+move_state* open_pool_move(node_state& s, std::string const& pool);
+// The version takes no requests but those that a move sends there.
+bool is_withheld(node_state const& s, std::string const& pool,
+                 std::string const& version);
+void on_pool_move_ordered(node_state& s, pool_move_ordered const& e,
+                          effects& out);
+void learn_pool_move(node_state& s, pool_move const& e, effects& out);
+void learn_pool_record(node_state& s, pool_move const& e, effects& out);
+void on_pool_move_reported(node_state& s, pool_move_reported const& e);
+void learn_pool_moves(node_state& s, pool_moves const& e, effects& out);
+pool_moves all_pool_moves(node_state const& s);
+// The step that is due and not yet on the "duties" stream.
+std::optional<pool_move> due_pool_step(node_state& s);
+void report_pool_moves(node_state& s, effects& out);
+
 // members.cpp
 void on_peer_opened(node_state& s, peer_opened const& e, effects& out);
 void on_peer_message(node_state& s, peer_received const& e, effects& out);
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -179,8 +179,7 @@
     double const most = !in_share       ? it.limit - kept
                         : is_flooded(s) ? it.limit + kept
                                         : it.limit;
-    bool const room =
-        it.limit == 0 || it.in_flight == 0 || it.in_flight < most;
+    bool const room = it.limit == 0 || it.in_flight == 0 || it.in_flight < most;
     it.reached = it.reached || !room;
     return room;
 }
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -265,6 +265,8 @@
                  out);
     send_to_peer(s, e.link, own_heartbeat(s), out);
     send_to_peer(s, e.link, all_news(s), out);
+    if (auto moves = all_pool_moves(s); !moves.moves.empty())
+        send_to_peer(s, e.link, std::move(moves), out);
 }
 
 void on_peer_message(node_state& s, peer_received const& e, effects& out)
@@ -289,6 +291,7 @@
             [&](hand_over_answer const& m) {
                 on_hand_over_answer(s, p, m, out);
             },
+            [&](pool_moves const& m) { learn_pool_moves(s, m, out); },
         },
         e.message);
 }
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -24,25 +24,6 @@
 constexpr double stages_in_time = 8; // a stage lasts this part of the time
 constexpr auto longest_stage = 600s;
 
-enum class verdict
-{
-    open,
-    good,
-    bad,
-};
-
-version_counts sum_of(move_state const& m, bool new_version)
-{
-    auto out = new_version ? m.own_to : m.own_from;
-    for (auto const& [node, it] : m.others) {
-        auto const& add = new_version ? it.to : it.from;
-        out.answers += add.answers;
-        out.failed += add.failed;
-        out.slow += add.slow;
-    }
-    return out;
-}
-
 // Upper end of what the old version's rate may be, from n answers: taking the
 // mean for the truth would veto good versions while n is small.
 double upper_rate(std::uint64_t hits, std::uint64_t n)
@@ -71,27 +52,6 @@
                                                       : verdict::open;
 }
 
-// Failures and slowness are tested apart: slow answers are common in any
-// version, and together they would hide failures, which are rare.
-verdict judge(move_state const& m)
-{
-    auto const from = sum_of(m, false);
-    auto const to = sum_of(m, true);
-    auto const test = [&](auto field) {
-        return test_rate(upper_rate(from.*field, from.answers),
-                         m.spec.max_bad_excess, to.*field, to.answers,
-                         false_pass[m.stage]);
-    };
-    auto const failed = test(&version_counts::failed);
-    auto const slow = test(&version_counts::slow);
-    if (failed == verdict::bad || slow == verdict::bad)
-        return verdict::bad;
-    bool const enough =
-        to.answers >= static_cast<std::uint64_t>(m.spec.min_samples);
-    bool const good = failed == verdict::good && slow == verdict::good;
-    return good && enough ? verdict::good : verdict::open;
-}
-
 bool is_late(node_state const& s, move_state const& m)
 {
 #if PAPAYAHOOK_MUTATION_NO_DEADLINE
@@ -133,32 +93,15 @@
     append_records(s, "config", {std::move(rec)}, out);
 }
 
-std::string evidence(move_state const& m)
-{
-    auto const show = [](version_counts const& it) {
-        return std::to_string(it.failed) + " failed and " +
-               std::to_string(it.slow) + " slow of " +
-               std::to_string(it.answers);
-    };
-    return "new " + show(sum_of(m, true)) + ", old " + show(sum_of(m, false));
-}
-
 void evaluate(node_state& s, move_state& m, effects& out)
 {
     move_step step;
     step.stage = m.stage;
     auto const found = judge(m);
-#if PAPAYAHOOK_MUTATION_NO_VETO
-    if (false)
-#else
-    if (found == verdict::bad && !m.vetoed)
-#endif
-        learn_veto(s, {m.spec.name, m.started, evidence(m)}, out);
-    auto const veto = s.vetoes.find({m.spec.name, m.started});
-    m.vetoed = veto != s.vetoes.end();
+    check_veto(s, m, out);
     if (m.vetoed) {
         step.end = move_end::taken_back;
-        step.reason = "bad: " + veto->second;
+        step.reason = "bad: " + s.vetoes.at({m.spec.name, m.started});
     }
     else if (is_late(s, m)) {
         step.end = move_end::taken_back;
@@ -188,6 +131,9 @@
 
 double share_of(node_state const& s, move_state const& m)
 {
+    bool const all = !m.pool.empty() && m.stage > 0;
+    if (all && !m.vetoed)
+        return 1;
     if (m.vetoed || is_late(s, m))
         return 0;
     return m.stage == 0 ? m.spec.canary_share : stage_shares[m.stage];
@@ -195,22 +141,95 @@
 
 } // namespace
 
+version_counts sum_of(move_state const& m, bool new_version)
+{
+    auto out = new_version ? m.own_to : m.own_from;
+    for (auto const& [node, it] : m.others) {
+        auto const& add = new_version ? it.to : it.from;
+        out.answers += add.answers;
+        out.failed += add.failed;
+        out.slow += add.slow;
+    }
+    return out;
+}
+
+// Failures and slowness are tested apart: slow answers are common in any
+// version, and together they would hide failures, which are rare.
+verdict judge(move_state const& m)
+{
+    auto const from = sum_of(m, false);
+    auto const to = sum_of(m, true);
+    auto const test = [&](auto field) {
+        return test_rate(upper_rate(from.*field, from.answers),
+                         m.spec.max_bad_excess, to.*field, to.answers,
+                         false_pass[m.stage]);
+    };
+    auto const failed = test(&version_counts::failed);
+    auto const slow = test(&version_counts::slow);
+    if (failed == verdict::bad || slow == verdict::bad)
+        return verdict::bad;
+    bool const enough =
+        to.answers >= static_cast<std::uint64_t>(m.spec.min_samples);
+    bool const good = failed == verdict::good && slow == verdict::good;
+    return good && enough ? verdict::good : verdict::open;
+}
+
+std::string evidence(move_state const& m)
+{
+    auto const show = [](version_counts const& it) {
+        return std::to_string(it.failed) + " failed and " +
+               std::to_string(it.slow) + " slow of " +
+               std::to_string(it.answers);
+    };
+    return "new " + show(sum_of(m, true)) + ", old " + show(sum_of(m, false));
+}
+
+void check_veto(node_state& s, move_state& m, effects& out)
+{
+#if PAPAYAHOOK_MUTATION_NO_VETO
+    if (false)
+#else
+    if (judge(m) == verdict::bad && !m.vetoed)
+#endif
+        learn_veto(s, {m.spec.name, m.started, evidence(m)}, out);
+    m.vetoed = s.vetoes.contains({m.spec.name, m.started});
+}
+
+void enter_stage(move_state& m, int stage, time_point now)
+{
+    m.stage = stage;
+    m.stage_since = now;
+    m.own_to = {};
+    m.others.clear();
+    m.offered = 0;
+    m.sent_to = 0;
+    m.step_due_since = {};
+    m.step_asked_at = {};
+}
+
 // The share is counted out, not drawn: no node ever exceeds it, so neither
 // does the sum over all nodes.
 std::string pick_version(node_state& s, request_state& r, route const& it)
 {
+    auto const pool = pool_of(s, r);
+    auto* m = open_pool_move(s, pool);
+    // A stream that began at a version which was taken back goes on at another.
+    if (m == nullptr && is_withheld(s, pool, r.version))
+        r.version.clear();
     if (!r.version.empty())
         return r.version;
-    auto* const m = open_move_of(s.config, it.name);
+    if (m == nullptr)
+        m = open_move_of(s.config, it.name);
     if (m == nullptr)
         return it.version;
     auto const& schema = r.asked.schema_version;
-    bool const new_takes = has_endpoint(s, pool_of(s, r), m->spec.to, schema);
+    bool const new_takes = has_endpoint(s, pool, m->spec.to, schema);
     bool const first_offer = r.move.empty();
     r.move = m->spec.name;
     if (first_offer)
         m->offered++;
-    bool const failed_before = !r.tried.empty();
+    bool const failed_before =
+        !r.tried.empty() && has_endpoint(s, pool, m->from, schema);
     double const allowed = share_of(s, *m) * static_cast<double>(m->offered);
     bool const in_share = static_cast<double>(m->sent_to) + 1 <= allowed;
     r.counts_new = new_takes && in_share && !failed_before;
@@ -268,8 +287,10 @@
 void evaluate_moves(node_state& s, effects& out)
 {
     for (auto& [name, m] : s.config.moves)
-        if (!m.end)
+        if (!m.end && m.pool.empty())
             evaluate(s, m, out);
+        else if (!m.end)
+            check_veto(s, m, out);
 }
 
 bool learn_veto(node_state& s, version_veto const& e, effects& out)
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -157,6 +157,10 @@
             [&](duty_append_done const& it) { on_duty_append(s, it); },
             [&](endpoints_ordered const& it) { on_ordered(s, it, out); },
             [&](usage_reported const& it) { on_usage_reported(s, it, out); },
+            [&](pool_move_ordered const& it) {
+                on_pool_move_ordered(s, it, out);
+            },
+            [&](pool_move_reported const& it) { on_pool_move_reported(s, it); },
             [&](shutdown_requested const&) { on_shutdown(s, out); },
             [&](tick const&) { on_tick(s, out); },
         },
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -119,8 +119,10 @@
 bool serves(node_state const& s, endpoint const& e, std::string const& pool,
             std::string const& version, std::string const& schema)
 {
-    return e.pool == pool && (version.empty() || e.version == version) &&
-           takes_schema(e, schema) && !is_leaving(s, e);
+    bool const fits = version.empty() ? !is_withheld(s, pool, e.version)
+                                      : e.version == version;
+    return e.pool == pool && fits && takes_schema(e, schema) &&
+           !is_leaving(s, e);
 }
 
 double prefill_us(node_state const& s, std::string const& pool)
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -82,6 +82,7 @@
 void perform(node&, core::append_duty const&) {}
 void perform(node&, core::report_usage const&) {}
 void perform(node&, core::order_endpoints const&) {}
+void perform(node&, core::report_pool_move const&) {}
 
 void perform(node& n, core::exit_process const&)
 {
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -188,15 +188,46 @@
 TEST_CASE("a duty record survives the store")
 {
     core::duty_record in{"n1", 7, 9, false, core::usage_report{5, {{"t", 3}}}};
-    complaint skipped;
-    auto const out = decode_duty(encode_duty(in), skipped);
-    CHECK(skipped.empty());
+    in.move = core::pool_move{4, "lm", "v2", {}, 1, {}, "good"};
+    auto const out = codec::duty_from_json(codec::duty_to_json(in));
     CHECK(out.holder == "n1");
+    REQUIRE(out.move);
+    CHECK(out.move->to == "v2");
+    CHECK(out.move->stage == 1);
+    CHECK_FALSE(out.move->end);
+    CHECK_THROWS_AS(codec::duty_from_json("{}"), std::invalid_argument);
+    CHECK_THROWS_AS(codec::duty_from_json("bytes"), std::invalid_argument);
     CHECK(out.fencing == 9);
     REQUIRE(out.intent);
     CHECK(out.intent->counts == in.intent->counts);
 }
 
+TEST_CASE("an order to move a service is decoded, its state encoded")
+{
+    complaint skipped;
+    auto const it = decode_move_order(
+        {3, "rollout/lm", R"({"service":"lm","target":"v2","duration_s":1.5})"},
+        skipped);
+    CHECK(skipped.empty());
+    CHECK(it.at == 4);
+    CHECK(it.pool == "lm");
+    CHECK(it.to == "v2");
+    CHECK(it.within == 1'500ms);
+    for (auto const* const wrong :
+         {"", "{}", R"({"service":"lm","target":7,"duration_s":1})",
+          R"({"service":"lm","target":"v2","duration_s":"long"})"}) {
+        complaint why;
+        CHECK(decode_move_order({3, "rollout/lm", wrong}, why).at == 0);
+        CHECK_FALSE(why.empty());
+    }
+    core::pool_move m{4, "lm", "v2", {}, 1, {}, "good"};
+    CHECK(encode_move_state(m) == R"({"state":"running","target":"v2"})");
+    m.end = core::move_end::finished;
+    CHECK(encode_move_state(m) == R"({"state":"completed","target":"v2"})");
+    m.end = core::move_end::taken_back;
+    CHECK(encode_move_state(m) == R"({"state":"rolled_back","target":"v2"})");
+}
+
 TEST_CASE("a request is decoded with its route, key and prompt")
 {
     core::configuration c;
--- /dev/null
+++ b/test/pool_moves_test.cpp
@@ -0,0 +1,262 @@
+// Moves of whole pools: bounded share, veto, one writer of steps, an end in
+// time, and nodes that know of it only from their peers.
+#include "support/choices.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace papayahook;
+using namespace papayahook::support;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t nodes = 3;
+constexpr auto within = 20s;
+constexpr core::offset order = 7;
+
+struct pool_world
+{
+    world w = make_world(nodes);
+    std::size_t blind = 0;  // nodes that see nothing of the store
+    std::size_t silent = 9; // a node that has stopped
+    core::time_point ends_at;
+    int requests = 0;
+    int to_new = 0;
+    int to_old = 0;
+    std::vector<core::pool_move> told; // to the operator
+};
+
+core::endpoint_entry entry(core::offset at, std::string const& name,
+                           std::string const& version)
+{
+    core::endpoint_entry out;
+    out.at = at;
+    out.name = name;
+    out.present = true;
+    out.what.name = name;
+    out.what.pool = "model";
+    out.what.address = "10.0.0.1:80";
+    out.what.zone = "zone-a";
+    out.what.incarnation = "1";
+    out.what.version = version;
+    out.what.slots = 64;
+    return out;
+}
+
+core::config_snapshot document()
+{
+    core::config_snapshot out;
+    out.applied = 101;
+    out.lists_endpoints = false;
+    core::route r;
+    r.name = "r";
+    r.pool = "model";
+    r.open = true;
+    r.progress_timeout = 60s;
+    out.routes.push_back({r, 101});
+    return out;
+}
+
+std::string const& version_of(pool_world const& p, std::string const& endpoint)
+{
+    return p.w.nodes[0].config.endpoints.at(endpoint).value.version;
+}
+
+void exchange(pool_world& p)
+{
+    deliver_all_messages(p.w);
+    exchange_duties(p.w, p.blind);
+    for (auto const& it : std::exchange(p.w.move_reports, {})) {
+        p.told.push_back(it.what.what);
+        give(p.w, it.node, core::pool_move_reported{it.what.what, true});
+    }
+    deliver_all_messages(p.w);
+}
+
+pool_world start(std::size_t blind = 0)
+{
+    pool_world p;
+    p.blind = blind;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        p.w.nodes[i].settings.holds_duties = true;
+        give(p.w, i, core::config_published{document()});
+        for (auto const* const name : {"a1", "a2"})
+            give(p.w, i, core::endpoint_listed{entry(1, name, "v1")});
+        for (auto const* const name : {"b1", "b2"})
+            give(p.w, i, core::endpoint_listed{entry(2, name, "v2")});
+    }
+    link_all(p.w);
+    exchange(p);
+    for (std::size_t i = 0; i + blind < nodes; ++i)
+        give(p.w, i, core::pool_move_ordered{order, "model", "v2", within});
+    p.ends_at = p.w.now + within;
+    exchange(p);
+    return p;
+}
+
+// A request at a node, answered at once.
+void serve(pool_world& p, std::size_t node, bool bad)
+{
+    core::request_arrived e;
+    e.id = "r" + std::to_string(p.requests++);
+    e.route = "r";
+    give(p.w, node, e);
+    while (!p.w.dispatches.empty()) {
+        auto const it = p.w.dispatches.front();
+        p.w.dispatches.erase(p.w.dispatches.begin());
+        bool const is_new = version_of(p, it.what.endpoint) == "v2";
+        (is_new ? p.to_new : p.to_old)++;
+        int const status = is_new && bad ? 500 : 200;
+        give(p.w, it.node, core::answer_head{it.what.call, status, "text"});
+        give(p.w, it.node, core::answer_chunk{it.what.call, 0, "x"});
+        give(p.w, it.node, core::answer_end{it.what.call, 1});
+    }
+}
+
+void run(pool_world& p, std::chrono::milliseconds time, bool bad = false)
+{
+    constexpr auto step = 50ms;
+    for (auto passed = 0ms; passed < time; passed += step) {
+        p.w.now += step;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            if (i == p.silent)
+                continue;
+            serve(p, i, bad);
+            serve(p, i, bad);
+            give(p.w, i, core::tick{});
+        }
+        exchange(p);
+    }
+}
+
+core::move_state const& move_at(pool_world const& p, std::size_t node)
+{
+    return p.w.nodes[node].config.moves.at("model");
+}
+
+} // namespace
+
+TEST_CASE("a good version gets a small share, then all, and is told in time")
+{
+    auto p = start();
+    run(p, 10s);
+    CHECK(p.to_new > 0);
+    CHECK(p.to_new * 10 <= p.requests);
+    REQUIRE_FALSE(p.told.empty());
+    CHECK_FALSE(p.told.front().end);
+    run(p, 10s);
+    for (std::size_t i = 0; i < nodes; ++i)
+        CHECK(move_at(p, i).end == core::move_end::finished);
+    CHECK(p.told.back().end == core::move_end::finished);
+    auto const old = p.to_old;
+    run(p, 1s);
+    CHECK(p.to_old == old);
+}
+
+TEST_CASE("a move finishes only when no call is open at the old version")
+{
+    auto p = start();
+    core::request_arrived e;
+    e.id = "long";
+    e.route = "r";
+    give(p.w, 1, e);
+    REQUIRE(p.w.dispatches.size() == 1);
+    auto const call = p.w.dispatches[0].what.call;
+    REQUIRE(version_of(p, p.w.dispatches[0].what.endpoint) == "v1");
+    p.w.dispatches.clear();
+    run(p, 15s);
+    CHECK(move_at(p, 0).stage == 1);
+    CHECK_FALSE(move_at(p, 0).end);
+    SECTION("it ends in time")
+    {
+        give(p.w, 1, core::answer_head{call, 200, "text"});
+        give(p.w, 1, core::answer_chunk{call, 0, "x"});
+        give(p.w, 1, core::answer_end{call, 1});
+        run(p, 2s);
+    }
+    SECTION("it does not, and the deadline comes near")
+    {
+        run(p, 5s);
+    }
+    CHECK(move_at(p, 0).end == core::move_end::finished);
+    CHECK(p.w.now <= p.ends_at);
+}
+
+TEST_CASE("a failing version is taken back soon and gets nothing more")
+{
+    auto p = start();
+    run(p, 5s, true);
+    for (std::size_t i = 0; i < nodes; ++i)
+        CHECK(move_at(p, i).end == core::move_end::taken_back);
+    CHECK(p.told.back().end == core::move_end::taken_back);
+    CHECK(p.to_new * 10 <= p.requests);
+    auto const seen = p.to_new;
+    run(p, 5s, true);
+    CHECK(p.to_new == seen);
+}
+
+TEST_CASE("a version without endpoints is taken back before the deadline")
+{
+    auto p = start();
+    for (std::size_t i = 0; i < nodes; ++i)
+        for (auto const* const name : {"b1", "b2"}) {
+            auto gone = entry(9, name, "v2");
+            gone.present = false;
+            give(p.w, i, core::endpoint_listed{gone});
+        }
+    run(p, within);
+    CHECK(move_at(p, 0).end == core::move_end::taken_back);
+    CHECK(p.to_new == 0);
+}
+
+TEST_CASE("a node that sees nothing of the store moves with the others")
+{
+    auto p = start(1);
+    bool const bad = GENERATE(false, true);
+    run(p, within, bad);
+    REQUIRE(move_at(p, 0).end);
+    CHECK(move_at(p, nodes - 1).end == move_at(p, 0).end);
+}
+
+TEST_CASE("a holder that stops is followed by one that keeps the deadline")
+{
+    auto p = start();
+    run(p, 6s);
+    auto const holder = std::ranges::find_if(
+        p.w.nodes, [](auto const& it) { return it.duties.fencing != 0; });
+    REQUIRE(holder != p.w.nodes.end());
+    p.silent = static_cast<std::size_t>(holder - p.w.nodes.begin());
+    run(p, 14s);
+    CHECK(p.told.back().end == core::move_end::finished);
+    CHECK(p.w.now <= p.ends_at);
+}
+
+TEST_CASE("what a late holder reads ends by the time of the first")
+{
+    auto p = start();
+    run(p, 2s);
+    restart(p.w, 0);
+    auto& fresh = p.w.nodes[0];
+    give(p.w, 0, core::pool_move_ordered{order, "model", "v2", within});
+    core::duties_read all;
+    all.end = p.w.duties.size();
+    all.entries = p.w.duties;
+    give(p.w, 0, all);
+    CHECK(fresh.config.moves.at("model").spec.deadline == p.ends_at);
+}
+
+TEST_CASE("an end is told once more, after what a holder before may have sent")
+{
+    auto p = start();
+    run(p, 5s, true);
+    auto const ends = [&] {
+        return std::ranges::count_if(
+            p.told, [](auto& it) { return it.end.has_value(); });
+    };
+    CHECK(ends() == 1);
+    run(p, 8s, true);
+    CHECK(ends() == 2);
+    run(p, 8s, true);
+    CHECK(ends() == 2);
+}
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -1,6 +1,7 @@
 #include "support/world.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayahook::support {
 
@@ -57,6 +58,14 @@
     {
         w.messages.push_back({node, incarnation, it});
     }
+    void operator()(core::append_duty const& it)
+    {
+        w.duty_appends.push_back({node, incarnation, it});
+    }
+    void operator()(core::report_pool_move const& it)
+    {
+        w.move_reports.push_back({node, incarnation, it});
+    }
     void operator()(core::send_chunk const& it) { w.bodies[it.id] += it.data; }
     void operator()(core::finish_answer const& it)
     {
@@ -152,6 +161,25 @@
         deliver_message(w, 0);
 }
 
+void exchange_duties(world& w, std::size_t blind)
+{
+    auto const seeing = w.nodes.size() - blind;
+    auto const before = w.duties.size();
+    for (auto const& it : std::exchange(w.duty_appends, {})) {
+        bool const stands = it.node < seeing && it.what.at == w.duties.size();
+        if (stands)
+            w.duties.push_back(
+                core::duty_entry{w.duties.size(), it.what.record});
+        answer(w, it, core::duty_append_done{stands});
+    }
+    core::duties_read read;
+    read.end = w.duties.size();
+    read.entries.assign(w.duties.begin() + static_cast<long>(before),
+                        w.duties.end());
+    for (std::size_t i = 0; i < seeing; ++i)
+        give(w, i, read);
+}
+
 core::offset put(world& w, std::string const& stream,
                  std::variant<core::config_record, core::claim_record> record)
 {
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -46,6 +46,9 @@
     std::vector<pending<core::dispatch>> dispatches;
     std::vector<pending<core::event>> late_events;
     std::vector<pending<core::send_peer>> messages;
+    std::vector<pending<core::append_duty>> duty_appends;
+    std::vector<core::duty_entry> duties; // the stream
+    std::vector<pending<core::report_pool_move>> move_reports;
 
     // What was given to nodes, in order; for golden files.
     std::vector<std::pair<std::size_t, core::event>> given;
@@ -92,6 +95,9 @@
 std::string token(core::request_id const& id, std::uint64_t index);
 std::string whole_text(core::request_id const& id, std::uint64_t tokens);
 
+// Lets all but the last `blind` nodes append to and read the "duties" stream.
+void exchange_duties(world& w, std::size_t blind = 0);
+
 // Carries out a pending effect; does nothing where there is none.
 void take_append(world& w, std::size_t i, bool answered);
 void fail_append(world& w, std::size_t i);
