Platform: a stand-in with process tests, latency histograms, settings without a signal, withdrawn requests

What was missing of the first issue, each seen in its text and by reading: - No test ran papayahook-node as a process. test/support/platform_fake is a stand-in of store, API and runners by their published calls; six cases run two nodes before it (pass through, usage, SIGTERM, SIGKILL, a settings file changed without a signal, roll-outs good and bad). - Latency histograms (to the first call, first byte, whole answer). - The settings file may change without a signal: it is compared once a second; bounds are now taken over too, who the node is stays. - A request that waited kept its place when its route or key was taken away; it is now refused "not run" at once (503: its caller's next try learns 404 or 401). - The slack of retries was split by eight whatever the number of nodes: 83 nodes would have had ten times what the budget allows. It is split by the nodes that are listed, at least eight. Tests: core 78 of 78, platform processes 6 of 6 in 17 s, platform, codec.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -5,9 +5,9 @@
 //   [2] Outcomes, refusals and errors
 //   [3] Configuration records   what operators publish on the log
 //   [4] Messages between nodes
-//   [5] Events                  all that can happen to a node
-//   [6] Effects                 all that a node can ask its runtime to do
-//   [7] Settings of the core
+//   [5] Settings of the core
+//   [6] Events                  all that can happen to a node
+//   [7] Effects                 all that a node can ask its runtime to do
 //   [8] State                   all that a node knows
 //   [9] reduce()                event in, effects out
 //
@@ -17,6 +17,7 @@
 // Thread safety: none; one thread owns a node_state.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstddef>
@@ -506,7 +507,65 @@
                  config_snapshot, hand_over, hand_over_answer, pool_moves>;
 
 // ---------------------------------------------------------------------------
-// [5] Events
+// [5] Settings of the core
+// ---------------------------------------------------------------------------
+
+struct node_settings
+{
+    std::string name;
+    std::string zone;
+    std::uint64_t incarnation = 0; // grows with every start
+    std::string caller_address;
+    std::string hello_proof;
+
+    int max_queue = 2000;          // of one organisation before one pool
+    std::size_t max_backlog = 256; // chunks held for a slow caller, then pause
+    int max_attempts = 4;          // dispatches of one request
+    double retry_budget = 0.2;     // retries per first dispatch, per pool
+    double retry_burst = 20;       // retries that may come at once, per pool
+    // Nodes that share retry_burst, if not more are known; 0: each has its own.
+    int retry_sharers = 0;
+    int claim_batch = 256;   // claim records per append
+    int append_budget = 300; // appends of claims a second, all nodes together
+    std::chrono::milliseconds outcome_linger{100};   // outcomes wait for claims
+    std::size_t max_shared_body = 16 * 1024;         // answer kept on the log
+    std::size_t max_shared_bytes = 16 * 1024 * 1024; // of all such answers
+    std::chrono::milliseconds first_token_target{520}; // of 95 in 100 requests
+    std::chrono::milliseconds service_wait{1'000};     // in a standing queue
+    std::chrono::milliseconds hop_cost{2}; // endpoint in another zone
+    std::chrono::microseconds prefill_per_token{100}; // until it is learned
+    std::chrono::milliseconds endpoint_pause{1'000};  // after failures
+    std::chrono::milliseconds report_horizon{6'000};  // older load: ignored
+    std::chrono::milliseconds heartbeat_period{1'000};
+    std::chrono::milliseconds peer_timeout{3'500};
+    std::chrono::milliseconds stage_time{3'000};     // shortest stay in a stage
+    std::chrono::milliseconds move_margin{2'000};    // taken back this early
+    std::chrono::milliseconds answer_linger{30'000}; // kept for re-attach
+    std::chrono::milliseconds hand_over_after{1'000}; // of a leaving node
+    bool hands_over = true; // false: requests end where they came in
+    // A leaving node takes requests until callers know that it leaves, and
+    // cuts what is left at the end of its time.
+    std::chrono::milliseconds accept_while_leaving{0};
+    std::chrono::milliseconds leave_within{3'600'000};
+    std::chrono::milliseconds exit_linger{500}; // for the last bytes to leave
+    double quota_overshoot = 0; // part of the rate that may be spent beyond
+    double quota_slack = 0;     // units likewise
+    std::chrono::milliseconds quota_window{1'000}; // in which both hold
+    bool holds_duties = false;                     // takes part in the lease
+    bool plans_fleet = false; // orders endpoints while it holds the lease
+    std::chrono::milliseconds lease{3'000}; // no two holders within it
+    std::chrono::milliseconds usage_window{5'000};
+    std::chrono::milliseconds usage_delay{2'500}; // for counts to come in
+    // Of a registry that was out of reach: dropped entries may come back.
+    std::chrono::milliseconds relist_grace{2'000};
+    std::chrono::seconds claim_horizon{86'400}; // at most the retention
+    std::chrono::milliseconds append_retry{200};
+    std::uint64_t checkpoint_every = 256; // config records
+    std::chrono::seconds checkpoint_period{3'600};
+};
+
+// ---------------------------------------------------------------------------
+// [6] Events
 // ---------------------------------------------------------------------------
 
 struct caller_gone
@@ -683,6 +742,12 @@
     bool ok = false;
 };
 
+// The node's settings have changed; who it is stays as it was at the start.
+struct settings_changed
+{
+    node_settings what;
+};
+
 struct shutdown_requested
 {
 };
@@ -700,13 +765,13 @@
                  peer_closed, endpoint_report, instance_list, relay_ended,
                  config_published, endpoint_listed, nodes_listed, duties_read,
                  duty_append_done, usage_reported, endpoints_ordered,
-                 pool_move_ordered, pool_move_reported, shutdown_requested,
-                 tick>
+                 pool_move_ordered, pool_move_reported, settings_changed,
+                 shutdown_requested, tick>
         what;
 };
 
 // ---------------------------------------------------------------------------
-// [6] Effects
+// [7] Effects
 // ---------------------------------------------------------------------------
 
 struct refuse
@@ -854,62 +919,6 @@
                             report_pool_move, log_event, wake, exit_process>;
 using effects = std::vector<effect>;
 
-// ---------------------------------------------------------------------------
-// [7] Settings of the core
-// ---------------------------------------------------------------------------
-
-struct node_settings
-{
-    std::string name;
-    std::string zone;
-    std::uint64_t incarnation = 0; // grows with every start
-    std::string caller_address;
-    std::string hello_proof;
-
-    int max_queue = 2000;          // of one organisation before one pool
-    std::size_t max_backlog = 256; // chunks held for a slow caller, then pause
-    int max_attempts = 4;          // dispatches of one request
-    double retry_budget = 0.2;     // retries per first dispatch, per pool
-    double retry_burst = 20;       // retries that may come at once, per pool
-    int claim_batch = 256;         // claim records per append
-    int append_budget = 300; // appends of claims a second, all nodes together
-    std::chrono::milliseconds outcome_linger{100};   // outcomes wait for claims
-    std::size_t max_shared_body = 16 * 1024;         // answer kept on the log
-    std::size_t max_shared_bytes = 16 * 1024 * 1024; // of all such answers
-    std::chrono::milliseconds first_token_target{520}; // of 95 in 100 requests
-    std::chrono::milliseconds service_wait{1'000};     // in a standing queue
-    std::chrono::milliseconds hop_cost{2}; // endpoint in another zone
-    std::chrono::microseconds prefill_per_token{100}; // until it is learned
-    std::chrono::milliseconds endpoint_pause{1'000};  // after failures
-    std::chrono::milliseconds report_horizon{6'000};  // older load: ignored
-    std::chrono::milliseconds heartbeat_period{1'000};
-    std::chrono::milliseconds peer_timeout{3'500};
-    std::chrono::milliseconds stage_time{3'000};     // shortest stay in a stage
-    std::chrono::milliseconds move_margin{2'000};    // taken back this early
-    std::chrono::milliseconds answer_linger{30'000}; // kept for re-attach
-    std::chrono::milliseconds hand_over_after{1'000}; // of a leaving node
-    bool hands_over = true; // false: requests end where they came in
-    // A leaving node takes requests until callers know that it leaves, and
-    // cuts what is left at the end of its time.
-    std::chrono::milliseconds accept_while_leaving{0};
-    std::chrono::milliseconds leave_within{3'600'000};
-    std::chrono::milliseconds exit_linger{500}; // for the last bytes to leave
-    double quota_overshoot = 0; // part of the rate that may be spent beyond
-    double quota_slack = 0;     // units likewise
-    std::chrono::milliseconds quota_window{1'000}; // in which both hold
-    bool holds_duties = false;                     // takes part in the lease
-    bool plans_fleet = false; // orders endpoints while it holds the lease
-    std::chrono::milliseconds lease{3'000}; // no two holders within it
-    std::chrono::milliseconds usage_window{5'000};
-    std::chrono::milliseconds usage_delay{2'500}; // for counts to come in
-    // Of a registry that was out of reach: dropped entries may come back.
-    std::chrono::milliseconds relist_grace{2'000};
-    std::chrono::seconds claim_horizon{86'400}; // at most the retention
-    std::chrono::milliseconds append_retry{200};
-    std::uint64_t checkpoint_every = 256; // config records
-    std::chrono::seconds checkpoint_period{3'600};
-};
-
 // ---------------------------------------------------------------------------
 // [8] State
 // ---------------------------------------------------------------------------
@@ -1180,6 +1189,29 @@
     std::uint64_t taken_over = 0;  // requests taken from leaving peers
 };
 
+// Upper ends of the buckets of histograms; one more bucket takes the rest.
+inline constexpr std::array<std::chrono::milliseconds, 12> latency_bounds{
+    std::chrono::milliseconds(5),     std::chrono::milliseconds(10),
+    std::chrono::milliseconds(20),    std::chrono::milliseconds(50),
+    std::chrono::milliseconds(100),   std::chrono::milliseconds(200),
+    std::chrono::milliseconds(300),   std::chrono::milliseconds(500),
+    std::chrono::milliseconds(800),   std::chrono::milliseconds(1'500),
+    std::chrono::milliseconds(5'000), std::chrono::milliseconds(15'000)};
+
+struct latency_histogram
+{
+    std::array<std::uint64_t, latency_bounds.size() + 1> counts{};
+    duration sum{};
+};
+
+// Of callers' requests, from their arrival here.
+struct latencies
+{
+    latency_histogram sent;        // to the first call
+    latency_histogram first_chunk; // to the first byte of the answer
+    latency_histogram whole;       // to the last one
+};
+
 // Waiting requests of one organisation by priority class, then fair tag.
 using request_queue = std::set<std::tuple<priority_class, double, request_id>>;
 using organisation_queues = std::map<std::string, request_queue>;
@@ -1228,6 +1260,7 @@
     call_id next_call = 1;
     std::uint64_t next_append = 1;
     totals counts;
+    latencies times;
 };
 
 // ---------------------------------------------------------------------------
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -229,6 +229,7 @@
 PAPAYAHOOK_NAME(endpoints_ordered)
 PAPAYAHOOK_NAME(pool_move_ordered)
 PAPAYAHOOK_NAME(pool_move_reported)
+PAPAYAHOOK_NAME(settings_changed)
 PAPAYAHOOK_NAME(shutdown_requested)
 PAPAYAHOOK_NAME(tick)
 PAPAYAHOOK_NAME(refuse)
@@ -344,6 +345,19 @@
 PAPAYAHOOK_JSON(endpoints_ordered, pool, zone, reclaimable, count, ok, why)
 PAPAYAHOOK_JSON(pool_move_ordered, at, pool, to, within)
 PAPAYAHOOK_JSON(pool_move_reported, what, ok)
+PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
+                max_queue, max_backlog, max_attempts, retry_budget, retry_burst,
+                retry_sharers, claim_batch, append_budget, outcome_linger,
+                max_shared_body, max_shared_bytes, first_token_target,
+                service_wait, hop_cost, prefill_per_token, endpoint_pause,
+                report_horizon, heartbeat_period, peer_timeout, stage_time,
+                move_margin, answer_linger, hand_over_after, hands_over,
+                accept_while_leaving, leave_within, exit_linger,
+                quota_overshoot, quota_slack, quota_window, holds_duties,
+                plans_fleet, lease, usage_window, usage_delay, relist_grace,
+                claim_horizon, append_retry, checkpoint_every,
+                checkpoint_period)
+PAPAYAHOOK_JSON(settings_changed, what)
 PAPAYAHOOK_JSON(event, at, what)
 PAPAYAHOOK_JSON(refuse, id, why)
 PAPAYAHOOK_JSON(dispatch, id, call, endpoint, address, kind, version,
@@ -366,18 +380,6 @@
 PAPAYAHOOK_JSON(report_pool_move, what)
 PAPAYAHOOK_JSON(wake, at)
 PAPAYAHOOK_JSON(log_event, number, subject, peer, detail)
-PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
-                max_queue, max_backlog, max_attempts, retry_budget, retry_burst,
-                claim_batch, append_budget, outcome_linger, max_shared_body,
-                max_shared_bytes, first_token_target, service_wait, hop_cost,
-                prefill_per_token, endpoint_pause, report_horizon,
-                heartbeat_period, peer_timeout, stage_time, move_margin,
-                answer_linger, hand_over_after, hands_over,
-                accept_while_leaving, leave_within, exit_linger,
-                quota_overshoot, quota_slack, quota_window, holds_duties,
-                plans_fleet, lease, usage_window, usage_delay, relist_grace,
-                claim_horizon, append_retry, checkpoint_every,
-                checkpoint_period)
 PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
                 failed_answers, dispatches, retries, resumed_streams,
                 tokens_recomputed, appends, claims, peer_messages, handed_over,
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -413,6 +413,7 @@
         return;
     note(out, events::snapshot_installed, "config", "",
          std::to_string(e.applied));
+    refuse_withdrawn(s, out);
     open_quotas(s);
     s.heartbeat_at = {};
     send_heartbeats(s, out);
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -101,6 +101,8 @@
 void index_routes(configuration& c);
 void on_config_published(node_state& s, config_published const& e,
                          effects& out);
+// Refuses what waits for a route or by a key that is no longer in force.
+void refuse_withdrawn(node_state& s, effects& out);
 bool learn_endpoint(node_state& s, endpoint_entry const& e, effects& out);
 // Listed once, and now to be given no work.
 bool is_out_of_use(node_state const& s, endpoint_state const& known);
@@ -220,6 +222,7 @@
     return out;
 }
 request_state* request_of_call(node_state& s, call_id call);
+void count_latency(latency_histogram& it, duration passed);
 void note(effects& out, int number, std::string subject, std::string peer,
           std::string detail);
 void remember(node_state& s, std::string subject, std::string rule,
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -64,6 +64,17 @@
         on_claims_read(s, e, out);
 }
 
+void on_settings(node_state& s, settings_changed const& e)
+{
+    auto fresh = e.what;
+    fresh.name = s.settings.name;
+    fresh.zone = s.settings.zone;
+    fresh.incarnation = s.settings.incarnation;
+    fresh.caller_address = s.settings.caller_address;
+    fresh.hello_proof = s.settings.hello_proof;
+    s.settings = std::move(fresh);
+}
+
 void on_shutdown(node_state& s, effects& out)
 {
     if (s.leaving)
@@ -161,6 +172,7 @@
                 on_pool_move_ordered(s, it, out);
             },
             [&](pool_move_reported const& it) { on_pool_move_reported(s, it); },
+            [&](settings_changed const& it) { on_settings(s, it); },
             [&](shutdown_requested const&) { on_shutdown(s, out); },
             [&](tick const&) { on_tick(s, out); },
         },
@@ -198,6 +210,13 @@
     return r != nullptr && r->call == call ? r : nullptr;
 }
 
+void count_latency(latency_histogram& it, duration passed)
+{
+    auto const bucket = std::ranges::lower_bound(latency_bounds, passed);
+    it.counts.at(static_cast<std::size_t>(bucket - latency_bounds.begin()))++;
+    it.sum += passed;
+}
+
 void note(effects& out, int number, std::string subject, std::string peer,
           std::string detail)
 {
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -76,6 +76,28 @@
     on_snapshot(s, e.what, out);
 }
 
+void refuse_withdrawn(node_state& s, effects& out)
+{
+    auto const withdrawn = requests_where(s, [&](auto const& r) {
+        auto const route = s.config.routes.find(r.asked.route);
+        bool const known =
+            route != s.config.routes.end() &&
+            (r.organisation.empty() ||
+             s.config.organisation_by_key.contains(r.asked.key_digest));
+        return r.phase == request_phase::queued && r.attempts == 0 && !known;
+    });
+    for (auto const& id : withdrawn) {
+        auto& r = s.requests.at(id);
+        if (r.phase == request_phase::queued)
+            refuse_request(s, r,
+                           {503, outcome::not_run, step::queue, "",
+                            "its route or key was taken out of force while "
+                            "it waited",
+                            0s},
+                           out);
+    }
+}
+
 bool learn_endpoint(node_state& s, endpoint_entry const& e, effects& out)
 {
     auto& known = s.endpoints[e.name];
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -79,6 +79,7 @@
              milliseconds_text(s.now - r.arrived) + ", calls " +
              std::to_string(r.attempts));
     count_answer(s, r, r.status >= 500);
+    count_latency(s.times.whole, s.now - r.arrived);
     s.endpoints[r.endpoint].failures = 0;
     s.counts.answered++;
     share_answer(s, r, out);
@@ -86,9 +87,20 @@
     drain_queues(s, out);
 }
 
+// Where all nodes share one slack, each takes an even part of it.
+double own_retry_burst(node_state const& s)
+{
+    if (s.settings.retry_sharers == 0)
+        return s.settings.retry_burst;
+    auto const sharers =
+        std::max({static_cast<std::size_t>(s.settings.retry_sharers),
+                  s.listed_nodes, s.members.size()});
+    return s.settings.retry_burst / static_cast<double>(sharers);
+}
+
 double& retry_tokens(node_state& s, request_state const& r)
 {
-    return s.retry_tokens.try_emplace(pool_of(s, r), s.settings.retry_burst)
+    return s.retry_tokens.try_emplace(pool_of(s, r), own_retry_burst(s))
         .first->second;
 }
 
@@ -212,8 +224,8 @@
     count_dispatch(s, r);
     if (first) {
         auto& tokens = retry_tokens(s, r);
-        tokens =
-            std::min(s.settings.retry_burst, tokens + s.settings.retry_budget);
+        tokens = std::min(own_retry_burst(s), tokens + s.settings.retry_budget);
+        count_latency(s.times.sent, s.now - r.arrived);
     }
     if (!r.chunks.empty()) {
         s.counts.resumed_streams++;
@@ -294,6 +306,7 @@
         r->first_chunk_seen = true;
         r->slow = is_slow(s, *r, s.now - r->call_started);
         note_first_token(s, *r, s.now - r->call_started);
+        count_latency(s.times.first_chunk, s.now - r->arrived);
         judge_first_token(s, *r, s.now - r->call_started);
         end_prefill(s, *r, true);
         count_usage(s, r->organisation);
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,5 +1,7 @@
 #include "runtime/http_server.hpp"
 
+#include "codec/text.hpp"
+
 #include <algorithm>
 #include <cctype>
 #include <optional>
@@ -155,6 +157,31 @@
     return it == headers.end() ? std::string_view{} : it->second;
 }
 
+header_list end_to_end(header_list const& all)
+{
+    constexpr std::string_view of_connection[] = {"Connection",
+                                                  "Keep-Alive",
+                                                  "Content-Length",
+                                                  "Transfer-Encoding",
+                                                  "TE",
+                                                  "Trailer",
+                                                  "Upgrade",
+                                                  "Expect",
+                                                  "Proxy-Connection",
+                                                  "Proxy-Authorization"};
+    auto const named = codec::split(header_value(all, "Connection"), ',');
+    auto const is_one_of = [](auto const& names, std::string_view name) {
+        return std::ranges::any_of(
+            names, [&](auto const& it) { return same_name(it, name); });
+    };
+    header_list out;
+    std::ranges::copy_if(all, std::back_inserter(out), [&](auto const& it) {
+        return !is_one_of(of_connection, it.first) &&
+               !is_one_of(named, it.first);
+    });
+    return out;
+}
+
 std::string query_value(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -23,6 +23,10 @@
 std::string_view header_value(header_list const& headers,
                               std::string_view name);
 
+// Without what belongs to one connection, be it by name or by the word of its
+// Connection header.
+header_list end_to_end(header_list const& all);
+
 // Value of a query parameter ("a=1&b=2"); empty when absent.
 std::string query_value(std::string_view query, std::string_view name);
 
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -2,9 +2,13 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace papayahook::runtime {
 
 namespace {
@@ -31,6 +35,22 @@
         .Set(value);
 }
 
+void histogram(prometheus::Registry& registry, char const* name,
+               char const* help, core::latency_histogram const& it)
+{
+    using seconds = std::chrono::duration<double>;
+    prometheus::Histogram::BucketBoundaries bounds;
+    std::ranges::transform(core::latency_bounds, std::back_inserter(bounds),
+                           [](auto at) { return seconds(at).count(); });
+    std::vector<double> const counts(it.counts.begin(), it.counts.end());
+    prometheus::BuildHistogram()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({}, bounds)
+        .ObserveMultiple(counts, seconds(it.sum).count());
+}
+
 } // namespace
 
 std::string metrics_text(core::node_state const& s, link_bytes links)
@@ -59,6 +79,13 @@
     counter(r, "papayahook_handed_over_requests_total",
             "Requests that passed between a leaving node and a peer",
             n.taken_over, {{"direction", "in"}});
+    histogram(r, "papayahook_wait_seconds",
+              "From a request's arrival to its first call", s.times.sent);
+    histogram(r, "papayahook_first_byte_seconds",
+              "From a request's arrival to the first byte of its answer",
+              s.times.first_chunk);
+    histogram(r, "papayahook_answer_seconds",
+              "From a request's arrival to its whole answer", s.times.whole);
     counter(r, "papayahook_log_appends_total", "Appends to the log", n.appends);
     counter(r, "papayahook_claims_total", "Claims of idempotency keys",
             n.claims);
--- /dev/null
+++ b/test/platform_process_test.cpp
@@ -0,0 +1,234 @@
+// papayahook-node as separate processes before a stand-in of the platform.
+#include "platform/wire.hpp"
+#include "support/client.hpp"
+#include "support/fleet.hpp"
+#include "support/platform_fake.hpp"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace papayahook;
+using namespace papayahook::support;
+using namespace std::chrono_literals;
+namespace wire = platform::wire;
+
+namespace {
+
+constexpr char const* configuration = R"({"version":1,"routes":[
+{"name":"r","host":"h","path_prefix":"/p/","route_type":"idempotent",
+ "timeout_ms":3000,"service":"app","attempts":1},
+{"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
+ "timeout_ms":3000,"service":"app","attempts":1}],
+"services":[{"name":"app","health_path":"/health"}],
+"tenants":[{"name":"acme","api_keys":["k1"]}]})";
+
+struct platform_node
+{
+    std::string name;
+    std::string front;     // address
+    std::string readiness; // address
+    std::string metrics;   // address
+    std::string settings;  // file
+    std::string log;       // file
+    std::unique_ptr<process> run;
+};
+
+std::string text_of(std::string const& file)
+{
+    std::ifstream in(file);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+void write_settings(platform_node const& n, platform_fake const& p,
+                    std::uint16_t ports)
+{
+    std::ofstream(n.settings)
+        << "node_name=" << n.name << "\nzone=zone-a\nip=127.0.0.1"
+        << "\nlisten.front=" << n.front << "\nlisten.readiness=" << n.readiness
+        << "\ninternal_ports=" << ports << ',' << ports + 15
+        << "\nplatform.address=" << p.store_address
+        << "\ncloud_api.address=" << p.api_address
+        << "\ncloud_api.duties=usage\nbounds.usage_window_s=1"
+        << "\nbounds.usage_late_s=2\nbounds.grace_s=8\n";
+}
+
+void start(platform_node& n)
+{
+    setenv("PAPAYAHOOK_SETTINGS", n.settings.c_str(), 1);
+    n.run = std::make_unique<process>(
+        std::vector<std::string>{program("papayahook-node")}, n.log);
+}
+
+platform_node make_node(std::string const& name, platform_fake const& p,
+                        std::uint16_t ports)
+{
+    platform_node n;
+    auto const folder = make_folder("platform-" + name);
+    n.name = name;
+    n.front = "127.0.0.1:" + std::to_string(free_port());
+    n.readiness = "127.0.0.1:" + std::to_string(free_port());
+    n.metrics = "127.0.0.1:" + std::to_string(ports + 14);
+    n.settings = folder + "/settings";
+    n.log = folder + "/log";
+    write_settings(n, p, ports);
+    start(n);
+    return n;
+}
+
+call_plan request(platform_node const& n, std::string const& path,
+                  std::string const& id, std::string const& key = "k1")
+{
+    call_plan it;
+    it.method = "GET";
+    it.address = n.front;
+    it.path = path;
+    it.key = key;
+    it.headers = {{"Host", "h"}, {wire::request_id, id}};
+    return it;
+}
+
+bool is_ready(platform_node const& n)
+{
+    call_plan it;
+    it.method = "GET";
+    it.address = n.readiness;
+    it.path = "/v1/readiness";
+    return run_call(it).status == 200;
+}
+
+// Two nodes, one runner, all ready.
+struct small_platform
+{
+    platform_fake fake;
+    std::vector<platform_node> nodes;
+
+    small_platform()
+    {
+        fake.put(wire::operator_topic, wire::configuration_key, configuration);
+        fake.add_runner({"i-1", "app"});
+        for (auto const* const name : {"n1", "n2"})
+            nodes.push_back(make_node(name, fake, free_port()));
+        REQUIRE(eventually(
+            10s, [&] { return is_ready(nodes[0]) && is_ready(nodes[1]); }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("requests pass from caller to runner and back")
+{
+    small_platform p;
+    auto const whole = run_call(request(p.nodes[0], "/p/x", "id-1"));
+    CHECK(whole.status == 200);
+    CHECK(whole.body == "answer to id-1");
+    auto const headers = p.fake.last_headers();
+    CHECK(runtime::header_value(headers, wire::organisation) == "acme");
+    CHECK(runtime::header_value(headers, wire::key).empty());
+    auto const stream = run_call(request(p.nodes[1], "/s/x", "id-2"));
+    CHECK(stream.body ==
+          "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    CHECK(run_call(request(p.nodes[0], "/p/x", "id-3", "k2")).status == 401);
+    CHECK(run_call(request(p.nodes[0], "/q/x", "id-4")).status == 404);
+    auto const metrics = get(p.nodes[0].metrics, "/metrics");
+    CHECK(metrics.find("papayahook_first_byte_seconds_count 1") !=
+          std::string::npos);
+    CHECK(metrics.find("papayahook_answer_seconds_bucket{le=\"5\"} 1") !=
+          std::string::npos);
+}
+
+TEST_CASE("usage of each window is told once, with a fencing number")
+{
+    small_platform p;
+    for (int n = 0; n < 20; ++n)
+        run_call(request(p.nodes[0], "/p/x", "id-" + std::to_string(n)));
+    auto const told = [&] {
+        auto const calls = p.fake.api_calls();
+        return std::ranges::any_of(calls, [](auto const& it) {
+            return it.path == wire::usage && !it.fencing.empty() &&
+                   it.body.find("\"acme\":") != std::string::npos;
+        });
+    };
+    CHECK(eventually(15s, told));
+}
+
+TEST_CASE("a node that is told to stop ends its requests and exits with 0")
+{
+    small_platform p;
+    p.fake.add_runner({"i-2", "slow", "v1", false, 1'500ms});
+    std::string changed = configuration;
+    changed.replace(changed.find("\"service\":\"app\""), 15,
+                    "\"service\":\"slow\"");
+    p.fake.put(wire::operator_topic, wire::configuration_key, changed);
+    std::this_thread::sleep_for(2s);
+    std::vector<call_plan> plans;
+    for (int n = 0; n < 5; ++n)
+        plans.push_back(request(p.nodes[0], "/p/x", "id-" + std::to_string(n)));
+    std::thread stop([&] {
+        std::this_thread::sleep_for(300ms);
+        p.nodes[0].run->signal(SIGTERM);
+    });
+    for (auto const& it : run_calls(plans))
+        CHECK(it.status == 200);
+    stop.join();
+    CHECK(p.nodes[0].run->wait(9s) == 0);
+}
+
+TEST_CASE("a node that was killed comes back with what the store holds")
+{
+    small_platform p;
+    p.nodes[0].run->signal(SIGKILL);
+    p.nodes[0].run->wait(2s);
+    CHECK(run_call(request(p.nodes[1], "/p/x", "id-1")).status == 200);
+    start(p.nodes[0]);
+    CHECK(eventually(10s, [&] { return is_ready(p.nodes[0]); }));
+    CHECK(run_call(request(p.nodes[0], "/p/x", "id-2")).status == 200);
+}
+
+TEST_CASE("a changed settings file is read without a signal")
+{
+    small_platform p;
+    platform_fake other;
+    other.put(wire::operator_topic, "other", "{}");
+    auto const ports =
+        p.nodes[0].metrics.substr(p.nodes[0].metrics.find(':') + 1);
+    write_settings(p.nodes[0], other,
+                   static_cast<std::uint16_t>(std::stoi(ports) - 14));
+    CHECK(eventually(5s, [&] {
+        return text_of(p.nodes[0].log).find("event=105") != std::string::npos;
+    }));
+    CHECK(run_call(request(p.nodes[0], "/p/x", "id-1")).status == 200);
+}
+
+TEST_CASE("a roll-out is finished, or taken back, and told to the operator")
+{
+    small_platform p;
+    bool const bad = GENERATE(false, true);
+    p.fake.add_runner({"i-2", "app", "v2", bad});
+    std::this_thread::sleep_for(1s);
+    p.fake.put(wire::operator_topic, "rollout/app",
+               R"({"service":"app","target":"v2","duration_s":10})");
+    auto const state = [&] {
+        return p.fake.newest(wire::status_topic, "rollout/app");
+    };
+    auto const expected = bad ? "rolled_back" : "completed";
+    auto const before = p.fake.runs();
+    bool const done = eventually(12s, [&] {
+        std::vector<call_plan> plans;
+        for (int n = 0; n < 8; ++n)
+            plans.push_back(request(p.nodes[static_cast<std::size_t>(n % 2)],
+                                    "/p/x", "id-" + std::to_string(n)));
+        run_calls(plans);
+        return state().find(expected) != std::string::npos;
+    });
+    CHECK(done);
+    CHECK(state().find("\"target\":\"v2\"") != std::string::npos);
+    auto const after = p.fake.runs();
+    if (bad)
+        CHECK(10 * after.at("v2") <= after.at("v1") + after.at("v2"));
+    run_call(request(p.nodes[0], "/p/x", "last"));
+    auto const last = p.fake.runs();
+    CHECK(last.at(bad ? "v1" : "v2") == after.at(bad ? "v1" : "v2") + 1);
+}
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -223,3 +223,72 @@
     REQUIRE_FALSE(ordered[false].empty());
     CHECK(ordered[false].back() < 6);
 }
+
+TEST_CASE("what waits for a route or by a key that goes is refused at once")
+{
+    auto w = start();
+    auto with_key = document(102);
+    core::organisation org;
+    org.name = "acme";
+    org.key_digests = {"key"};
+    with_key.organisations.push_back({org, 102});
+    with_key.routes[0].value.open = false;
+    give(w, 0, core::config_published{with_key});
+    auto const by_route = ask(w); // no endpoint yet: it waits
+    core::request_arrived e;
+    e.id = "by-key";
+    e.route = "/";
+    e.key_digest = "key";
+    give(w, 0, e);
+    REQUIRE(w.ends.empty());
+    SECTION("the route")
+    {
+        auto fewer = with_key;
+        fewer.applied = 103;
+        std::erase_if(fewer.routes,
+                      [](auto& it) { return it.value.name == "/a/"; });
+        give(w, 0, core::config_published{fewer});
+        REQUIRE(w.ends.size() == 1);
+        CHECK(w.ends.contains(by_route));
+    }
+    SECTION("the key")
+    {
+        auto fewer = with_key;
+        fewer.applied = 103;
+        fewer.organisations.clear();
+        give(w, 0, core::config_published{fewer});
+        REQUIRE(w.ends.size() == 1);
+        CHECK(w.ends.contains("by-key"));
+    }
+    CHECK(w.ends.begin()->second.outcome == core::outcome::not_run);
+}
+
+TEST_CASE("nodes that share one slack of retries each take an even part")
+{
+    auto w = start();
+    auto& s = w.nodes[0].settings;
+    s.retry_burst = 16;
+    s.retry_budget = 0;
+    s.retry_sharers = 8;
+    int const listed = GENERATE(2, 16);
+    give(w, 0, core::nodes_listed{static_cast<std::size_t>(listed)});
+    give(w, 0, core::endpoint_listed{entry(1, "e1")});
+    for (int n = 0; n < 10; ++n) {
+        ask(w);
+        w.nodes[0].endpoints["e1"].paused_until = {};
+        while (!w.dispatches.empty())
+            run_dispatch(w, 0, false, false);
+    }
+    CHECK(w.nodes[0].counts.retries == (listed == 2 ? 2 : 1));
+}
+
+TEST_CASE("changed settings are taken over, but who the node is")
+{
+    auto w = start();
+    auto fresh = w.nodes[0].settings;
+    fresh.name = "other";
+    fresh.quota_slack = 77;
+    give(w, 0, core::settings_changed{fresh});
+    CHECK(w.nodes[0].settings.quota_slack == 77);
+    CHECK(w.nodes[0].settings.name == "n1");
+}
--- /dev/null
+++ b/test/support/platform_fake.cpp
@@ -0,0 +1,253 @@
+#include "support/platform_fake.hpp"
+
+#include "platform/documents.hpp"
+#include "platform/wire.hpp"
+#include "support/processes.hpp"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace papayahook::support {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using runtime::header_value;
+namespace wire = platform::wire;
+
+constexpr std::size_t length_bytes = 4;
+constexpr auto look_again = 10ms; // for records that a read waits for
+
+std::string query(runtime::http_request const& in, char const* name)
+{
+    return runtime::query_value(in.query, name);
+}
+
+std::string big_endian(std::uint64_t value, int bytes)
+{
+    std::string out;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+        out += static_cast<char>(value >> shift & 0xff);
+    return out;
+}
+
+std::string base64(std::string const& text)
+{
+    std::string out(4 * ((text.size() + 2) / 3) + 1, '\0');
+    int const n =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<unsigned char const*>(text.data()),
+                        static_cast<int>(text.size()));
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+// Key and value of a raw record.
+std::pair<std::string, std::string> parts(std::string const& record)
+{
+    auto const n =
+        static_cast<std::size_t>(static_cast<unsigned char>(record.at(0)));
+    return {record.substr(1, n), record.substr(1 + n)};
+}
+
+void send_json(runtime::responder_ptr const& out, int status, json const& body)
+{
+    out->send(status, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+} // namespace
+
+platform_fake::platform_fake()
+    : store_address("127.0.0.1:" + std::to_string(free_port())),
+      api_address("127.0.0.1:" + std::to_string(free_port())),
+      work_(io_.get_executor()), thread_([this] { io_.run(); })
+{
+    listen(store_address, [this](auto in, auto out) { on_store(in, out); });
+    listen(api_address, [this](auto in, auto out) {
+        std::scoped_lock const lock(mutex_);
+        api_calls_.push_back(
+            {in.path, std::string(header_value(in.headers, wire::fencing)),
+             in.body});
+        out->send(200, {}, "");
+    });
+}
+
+platform_fake::~platform_fake()
+{
+    io_.stop();
+    thread_.join();
+}
+
+void platform_fake::listen(std::string const& address,
+                           runtime::http_server::handler on_request)
+{
+    auto const colon = address.find(':');
+    runtime::http_server_options options;
+    options.address = address.substr(0, colon);
+    options.port =
+        static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+    std::promise<void> open;
+    asio::post(io_, [&] {
+        servers_.push_back(std::make_unique<runtime::http_server>(
+            io_, options, std::move(on_request)));
+        open.set_value();
+    });
+    open.get_future().wait();
+}
+
+void platform_fake::after(std::chrono::milliseconds delay,
+                          std::function<void()> act)
+{
+    auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+    timer->async_wait([timer, act = std::move(act)](auto ec) {
+        if (!ec)
+            act();
+    });
+}
+
+void platform_fake::put(std::string const& topic, std::string const& key,
+                        std::string const& value)
+{
+    std::scoped_lock const lock(mutex_);
+    topics_[topic].push_back(
+        platform::encode_record(key, value).substr(length_bytes));
+}
+
+std::string platform_fake::newest(std::string const& topic,
+                                  std::string const& key)
+{
+    std::scoped_lock const lock(mutex_);
+    std::string out;
+    for (auto const& record : topics_[topic])
+        if (auto const [name, value] = parts(record); name == key)
+            out = value;
+    return out;
+}
+
+std::vector<api_call> platform_fake::api_calls()
+{
+    std::scoped_lock const lock(mutex_);
+    return api_calls_;
+}
+
+std::map<std::string, int> platform_fake::runs()
+{
+    std::scoped_lock const lock(mutex_);
+    return runs_;
+}
+
+runtime::header_list platform_fake::last_headers()
+{
+    std::scoped_lock const lock(mutex_);
+    return last_headers_;
+}
+
+void platform_fake::on_store(runtime::http_request const& in,
+                             runtime::responder_ptr out)
+{
+    if (in.path == wire::log_append)
+        on_append(in, out);
+    else if (in.path == wire::log_newest)
+        on_newest(in, out);
+    else if (in.path == wire::log_read)
+        on_read(in, out,
+                std::chrono::milliseconds(std::stoi(query(in, "wait_ms"))));
+    else
+        out->send(404, {}, "");
+}
+
+// One record a call; nodes write no more at once.
+void platform_fake::on_append(runtime::http_request const& in,
+                              runtime::responder_ptr const& out)
+{
+    std::scoped_lock const lock(mutex_);
+    auto& topic = topics_[query(in, "topic")];
+    auto const at = query(in, "at");
+    if (!at.empty() && std::stoul(at) != topic.size()) {
+        send_json(out, 412, {{"end", topic.size()}});
+        return;
+    }
+    topic.push_back(in.body.substr(length_bytes));
+    send_json(out, 200, {{"offset", topic.size() - 1}, {"end", topic.size()}});
+}
+
+void platform_fake::on_newest(runtime::http_request const& in,
+                              runtime::responder_ptr const& out)
+{
+    std::scoped_lock const lock(mutex_);
+    auto const& topic = topics_[query(in, "topic")];
+    std::map<std::string, json> items;
+    for (std::size_t n = 0; n < topic.size(); ++n) {
+        auto const [key, value] = parts(topic[n]);
+        items[key] = {{"key", key}, {"value", base64(value)}, {"offset", n}};
+    }
+    json list = json::array();
+    for (auto const& [key, it] : items)
+        list.push_back(it);
+    send_json(out, 200,
+              {{"items", list}, {"has_more", false}, {"end", topic.size()}});
+}
+
+void platform_fake::on_read(runtime::http_request const& in,
+                            runtime::responder_ptr out,
+                            std::chrono::milliseconds waits)
+{
+    std::scoped_lock const lock(mutex_);
+    auto const& topic = topics_[query(in, "topic")];
+    auto const from = std::stoul(query(in, "from"));
+    if (from >= topic.size() && waits > 0ms) {
+        after(look_again,
+              [this, in, out, waits] { on_read(in, out, waits - look_again); });
+        return;
+    }
+    auto body = big_endian(topic.size(), 8) + big_endian(0, 8);
+    for (auto n = from; n < topic.size(); ++n)
+        body += big_endian(topic[n].size(), 4) + topic[n];
+    out->send(200, {}, std::move(body));
+}
+
+void platform_fake::add_runner(fake_runner const& it)
+{
+    auto const address = "127.0.0.1:" + std::to_string(free_port());
+    listen(address, [this, it](auto in, auto out) {
+        after(it.work, [this, it, in, out] { on_runner(it, in, out); });
+    });
+    json const entry{{"service", it.service}, {"address", address},
+                     {"zone", "zone-a"},      {"version", it.version},
+                     {"slots", 16},           {"state", "ready"},
+                     {"sequence", 1},         {"born", 1}};
+    put(wire::endpoint_topic, it.name, entry.dump());
+}
+
+// Paths that begin with /s/ are answered by a stream of three events.
+void platform_fake::on_runner(fake_runner const& r,
+                              runtime::http_request const& in,
+                              runtime::responder_ptr const& out)
+{
+    auto const id = std::string(header_value(in.headers, wire::request_id));
+    if (header_value(in.headers, wire::expect_endpoint) != r.name) {
+        out->send(421, {{wire::request_id, id}}, "");
+        return;
+    }
+    std::scoped_lock const lock(mutex_);
+    runs_[r.version]++;
+    last_headers_ = in.headers;
+    runtime::header_list headers{{wire::request_id, id},
+                                 {"Response-Seal", "seal-of-" + r.name}};
+    if (!in.path.starts_with("/s/")) {
+        out->send(r.fails ? 500 : 200, headers, "answer to " + id);
+        return;
+    }
+    headers.emplace_back("Content-Type", "text/event-stream");
+    out->start(200, headers);
+    for (auto const* const event :
+         {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"})
+        out->write(event, [](auto) {});
+    out->finish();
+}
+
+} // namespace papayahook::support
