Raise a quota's rate only while all nodes are in sight; one visit over own effects, one listed entry in tests

Change: the careful rate holds unless nearly all nodes are heard without a missed heartbeat. Besides, with no change of behaviour: adapter and gateway share carry_out_own(); two tests share support's listed().

--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -99,11 +99,13 @@
                                (window * org.quota_rate + org.quota_burst) +
                            s.settings.quota_slack;
     double const used = used_part * allowed;
-    // One who sends steadily at its rate is refused nothing.
-    double const wanted =
-        std::max(used * (1 - burst_part) / window, org.quota_rate);
-    double const rate =
-        std::min(wanted, used * (1 - least_burst_part) / window);
+    // One who sends steadily at its rate is refused nothing. What nodes spend
+    // before they notice that they are cut off needs the larger reserve.
+    double const careful = used * (1 - burst_part) / window;
+    double const most = used * (1 - least_burst_part) / window;
+    double const rate = hears_all(s)
+                            ? std::min(std::max(careful, org.quota_rate), most)
+                            : careful;
     return {used - rate * window, rate};
 }
 
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -128,15 +128,10 @@
 
 bool gateway::perform(node& n, core::effect const& effect)
 {
-    return std::visit(
-        [&](auto const& it) {
-            if constexpr (requires { this->carry_out(n, it); }) {
-                carry_out(n, it);
-                return true;
-            }
-            return false;
-        },
-        effect);
+    auto const act = [&](auto const& it) -> decltype(this->carry_out(n, it)) {
+        carry_out(n, it);
+    };
+    return carry_out_own(effect, act);
 }
 
 } // namespace papayahook::runtime
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -101,6 +101,20 @@
 // Limits of a listener by the settings; address and handlers are to be set.
 http_server_options listener_options(settings const& it);
 
+// Carries an effect out if `act` takes its type; else false.
+template <class F>
+bool carry_out_own(core::effect const& effect, F const& act)
+{
+    return std::visit(
+        [&](auto const& it) {
+            constexpr bool own = std::is_invocable_v<F, decltype(it)>;
+            if constexpr (own)
+                act(it);
+            return own;
+        },
+        effect);
+}
+
 // callers.cpp
 void on_caller_request(node& n, http_request in, responder_ptr out);
 void on_caller_closed(node& n, std::uint64_t connection_id);
--- a/test/pool_moves_test.cpp
+++ b/test/pool_moves_test.cpp
@@ -30,17 +30,9 @@
 core::endpoint_entry entry(core::offset at, std::string const& name,
                            std::string const& version)
 {
-    core::endpoint_entry out;
-    out.at = at;
-    out.name = name;
-    out.present = true;
-    out.what.name = name;
-    out.what.pool = "model";
-    out.what.address = "10.0.0.1:80";
-    out.what.zone = "zone-a";
-    out.what.incarnation = "1";
+    auto out = listed(at, name);
+    out.what.kind = core::endpoint_kind::plain_service;
     out.what.version = version;
-    out.what.slots = 64;
     return out;
 }
 
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -32,22 +32,6 @@
     return out;
 }
 
-core::endpoint_entry entry(core::offset at, std::string const& name)
-{
-    core::endpoint_entry out;
-    out.at = at;
-    out.name = name;
-    out.present = true;
-    out.what.name = name;
-    out.what.pool = "model";
-    out.what.address = "10.0.0.1:80";
-    out.what.zone = "zone-a";
-    out.what.incarnation = "1";
-    out.what.kind = core::endpoint_kind::model_runner;
-    out.what.slots = 64;
-    return out;
-}
-
 world start()
 {
     auto w = make_world(1);
@@ -97,15 +81,15 @@
 TEST_CASE("an endpoint that drains or is dropped gets no work")
 {
     auto w = start();
-    give(w, 0, core::endpoint_listed{entry(1, "e1")});
+    give(w, 0, core::endpoint_listed{listed(1, "e1")});
     CHECK(sent_to(w) == "e1");
-    auto draining = entry(3, "e1");
+    auto draining = listed(3, "e1");
     draining.draining = true;
     give(w, 0, core::endpoint_listed{draining});
     CHECK(sent_to(w).empty());
-    give(w, 0, core::endpoint_listed{entry(2, "e1")}); // late, by a peer
+    give(w, 0, core::endpoint_listed{listed(2, "e1")}); // late, by a peer
     CHECK(sent_to(w).empty());
-    auto reborn = entry(4, "e1");
+    auto reborn = listed(4, "e1");
     reborn.what.incarnation = "2";
     give(w, 0, core::endpoint_listed{reborn});
     CHECK(sent_to(w) == "e1");
@@ -120,7 +104,7 @@
 {
     auto w = start();
     give(w, 0, core::log_reachable{true});
-    give(w, 0, core::endpoint_listed{entry(1, "e1")});
+    give(w, 0, core::endpoint_listed{listed(1, "e1")});
     give(w, 0, core::log_reachable{false});
     pass_time(w, 5s);
     give(w, 0, core::log_reachable{true});
@@ -131,7 +115,7 @@
     CHECK(sent_to(w) == "e1");
     pass_time(w, 2'100ms);
     CHECK(sent_to(w).empty());
-    give(w, 0, core::endpoint_listed{entry(3, "e1")});
+    give(w, 0, core::endpoint_listed{listed(3, "e1")});
     CHECK(sent_to(w) == "e1");
 }
 
@@ -143,8 +127,8 @@
         give(w, n, core::config_published{document(101)});
         for (int i = 0; i < 9; ++i)
             give(w, n,
-                 core::endpoint_listed{entry(static_cast<core::offset>(i + 1),
-                                             "e" + std::to_string(i))});
+                 core::endpoint_listed{listed(static_cast<core::offset>(i + 1),
+                                              "e" + std::to_string(i))});
         core::request_arrived e;
         e.id = "x" + std::to_string(n);
         e.route = "/a/";
@@ -160,8 +144,8 @@
 TEST_CASE("a long prompt goes round an endpoint that reads another one")
 {
     auto w = start();
-    give(w, 0, core::endpoint_listed{entry(1, "e1")});
-    give(w, 0, core::endpoint_listed{entry(2, "e2")});
+    give(w, 0, core::endpoint_listed{listed(1, "e1")});
+    give(w, 0, core::endpoint_listed{listed(2, "e2")});
     auto const first = sent_to(w);
     auto const second = sent_to(w);
     CHECK(first != second);
@@ -178,12 +162,12 @@
     constexpr int busy = 4; // kept busy by two prompts a second
     for (int i = 0; i < at_start; ++i)
         give(w, 0,
-             core::endpoint_listed{entry(static_cast<core::offset>(i + 1),
-                                         "e" + std::to_string(i))});
+             core::endpoint_listed{listed(static_cast<core::offset>(i + 1),
+                                          "e" + std::to_string(i))});
     give(w, 0, core::duties_read{});
     std::map<bool, std::vector<int>> ordered; // by kind
     std::uint64_t end = 0;
-    core::offset listed = 100;
+    core::offset next_offset = 100;
     bool refuse = true;
     auto const run = [&](std::chrono::milliseconds time) {
         for (auto t = 0ms; t < time; t += 50ms) {
@@ -205,7 +189,8 @@
                     if (ok)
                         ordered[o->reclaimable].push_back(o->count);
                     for (int i = 0; ok && o->reclaimable && i < o->count; ++i) {
-                        auto e = entry(listed++, "spare" + std::to_string(i));
+                        auto e =
+                            listed(next_offset++, "spare" + std::to_string(i));
                         e.what.reclaimable = true;
                         give(w, 0, core::endpoint_listed{e});
                     }
@@ -276,16 +261,16 @@
     s.retry_burst = 16;
     s.retry_budget = 0;
     s.retry_sharers = 8;
-    int const listed = GENERATE(2, 16);
-    give(w, 0, core::nodes_listed{static_cast<std::size_t>(listed)});
-    give(w, 0, core::endpoint_listed{entry(1, "e1")});
+    int const known = GENERATE(2, 16);
+    give(w, 0, core::nodes_listed{static_cast<std::size_t>(known)});
+    give(w, 0, core::endpoint_listed{listed(1, "e1")});
     for (int n = 0; n < 10; ++n) {
         ask(w);
         w.nodes[0].endpoints["e1"].paused_until = {};
         while (!w.dispatches.empty())
             run_dispatch(w, 0, false, false);
     }
-    CHECK(w.nodes[0].counts.retries == (listed == 2 ? 2 : 1));
+    CHECK(w.nodes[0].counts.retries == (known == 2 ? 2 : 1));
 }
 
 TEST_CASE("changed settings are taken over, but who the node is")
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -161,6 +161,22 @@
         deliver_message(w, 0);
 }
 
+core::endpoint_entry listed(core::offset at, std::string const& name)
+{
+    core::endpoint_entry out;
+    out.at = at;
+    out.name = name;
+    out.present = true;
+    out.what.name = name;
+    out.what.pool = "model";
+    out.what.address = "10.0.0.1:80";
+    out.what.zone = "zone-a";
+    out.what.incarnation = "1";
+    out.what.kind = core::endpoint_kind::model_runner;
+    out.what.slots = 64;
+    return out;
+}
+
 void exchange_duties(world& w, std::size_t blind)
 {
     auto const seeing = w.nodes.size() - blind;
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -95,6 +95,9 @@
 std::string token(core::request_id const& id, std::uint64_t index);
 std::string whole_text(core::request_id const& id, std::uint64_t tokens);
 
+// A registry's entry of a ready model runner of pool "model", 64 slots.
+core::endpoint_entry listed(core::offset at, std::string const& name);
+
 // Lets all but the last `blind` nodes append to and read the "duties" stream.
 void exchange_duties(world& w, std::size_t blind = 0);
 
