--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -334,7 +334,7 @@
 // [4] Messages between nodes
 // ---------------------------------------------------------------------------
 
-inline constexpr int protocol_version = 1;
+inline constexpr int protocol_version = 2;
 
 struct hello
 {
@@ -343,6 +343,8 @@
     std::uint64_t incarnation = 0;
     std::string zone;
     std::string caller_address; // where callers' requests can be re-attached
+    std::string peer_address;   // where other nodes dial it
+    int capacity = 0;           // processor time, in 1/100 of a core
     std::string proof;          // keyed digest over the fields above
 };
 
@@ -352,16 +354,27 @@
     int tokens = 0; // of prompts, until the first token of each
 };
 
+// Loads by endpoint_key() of the endpoint's name; ascending, none is empty.
+using endpoint_loads = std::vector<std::pair<std::uint32_t, endpoint_load>>;
+
+// Figures are sums over `nodes` nodes. Which ones, and whether `spent` and
+// `usage` are totals or what has come since the last one, depends on how the
+// two nodes stand to one another: see src/core/sums.cpp.
 struct heartbeat
 {
     offset config = 0; // highest offset applied
     int in_flight = 0;
     bool leaving = false;
-    std::map<std::string, double> demand; // units a second, by organisation
-    std::map<std::string, double> spent;  // units since its start, likewise
-    std::map<std::string, endpoint_load> calls; // by endpoint
-    std::map<std::string, double> work;         // endpoints kept busy, by pool
-    usage_counts usage;                         // of this node, newest windows
+    bool under = false;           // the sender takes the receiver for its hub
+    bool parting = false;         // the sender closes this link and goes on
+    std::size_t nodes = 1;        // 0: the figures below say nothing
+    std::size_t listed_nodes = 0; // known from the registry
+    std::chrono::milliseconds store_age{}; // of the registry's newest word
+    std::map<std::string, double> demand;  // units a second, by organisation
+    std::map<std::string, double> spent;   // units, likewise
+    std::map<std::string, double> work;    // endpoints kept busy, by pool
+    endpoint_loads calls;
+    usage_counts usage; // newest windows
 };
 
 // Spreads by flooding, each item once: a node relays what it did not know.
@@ -389,6 +402,8 @@
     bool up = false;
     std::string zone;
     std::string caller_address;
+    std::string peer_address;
+    int capacity = 0; // as in hello
 };
 
 // Cumulative counts of one node for one version under a move.
@@ -516,6 +531,8 @@
     std::string zone;
     std::uint64_t incarnation = 0; // grows with every start
     std::string caller_address;
+    std::string peer_address; // where other nodes dial this one
+    int capacity = 0;         // processor time, in 1/100 of a core
     std::string hello_proof;
 
     int max_queue = 2000;          // of one organisation before one pool
@@ -538,6 +555,11 @@
     std::chrono::milliseconds report_horizon{6'000};  // older load: ignored
     std::chrono::milliseconds heartbeat_period{1'000};
     std::chrono::milliseconds peer_timeout{3'500};
+    // A hub that is silent for so long is left for another one.
+    std::chrono::milliseconds hub_timeout{2'500};
+    // Reads the registry for all nodes, or by itself when their word is older
+    // than this; zero: never.
+    std::chrono::milliseconds store_word_age{0};
     std::chrono::milliseconds stage_time{3'000};     // shortest stay in a stage
     std::chrono::milliseconds move_margin{2'000};    // taken back this early
     std::chrono::milliseconds answer_linger{30'000}; // kept for re-attach
@@ -689,15 +711,24 @@
     config_snapshot what;
 };
 
-struct endpoint_listed
+// Entries of the registry as they were read.
+struct endpoints_listed
 {
-    endpoint_entry what;
+    std::vector<endpoint_entry> entries;
+    // Set: these are all that it held at this offset; others were dropped.
+    std::optional<offset> whole_at;
 };
 
-// Nodes that the registry names, whether or not they are up.
+// Nodes that the registry or the settings name, whether or not they are up.
 struct nodes_listed
 {
-    std::size_t count = 0;
+    std::vector<member_news> nodes;
+};
+
+// A link that was to be dialled did not come about.
+struct dial_failed
+{
+    std::string node;
 };
 
 struct duties_read
@@ -763,10 +794,10 @@
                  answer_head, answer_chunk, answer_end, call_failed, log_read,
                  append_done, log_reachable, peer_opened, peer_received,
                  peer_closed, endpoint_report, instance_list, relay_ended,
-                 config_published, endpoint_listed, nodes_listed, duties_read,
-                 duty_append_done, usage_reported, endpoints_ordered,
-                 pool_move_ordered, pool_move_reported, settings_changed,
-                 shutdown_requested, tick>
+                 config_published, endpoints_listed, nodes_listed, dial_failed,
+                 duties_read, duty_append_done, usage_reported,
+                 endpoints_ordered, pool_move_ordered, pool_move_reported,
+                 settings_changed, shutdown_requested, tick>
         what;
 };
 
@@ -865,6 +896,19 @@
     std::uint64_t link = 0;
 };
 
+struct dial_peer
+{
+    std::string node;
+    std::string address;
+};
+
+// What this node reads of the platform's store from now on.
+struct follow_store
+{
+    bool registry = false; // configuration and endpoints
+    bool duties = false;   // the "duties" stream and the list of nodes
+};
+
 // Appends to the "duties" stream if that still ends at `at`.
 struct append_duty
 {
@@ -912,11 +956,12 @@
 {
 };
 
-using effect = std::variant<refuse, dispatch, cancel_call, pause_call,
-                            resume_call, send_head, send_chunk, finish_answer,
-                            fail_answer, relay, append, send_peer, close_peer,
-                            append_duty, report_usage, order_endpoints,
-                            report_pool_move, log_event, wake, exit_process>;
+using effect =
+    std::variant<refuse, dispatch, cancel_call, pause_call, resume_call,
+                 send_head, send_chunk, finish_answer, fail_answer, relay,
+                 append, send_peer, close_peer, dial_peer, follow_store,
+                 append_duty, report_usage, order_endpoints, report_pool_move,
+                 log_event, wake, exit_process>;
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
@@ -976,10 +1021,9 @@
 
 struct endpoint_state
 {
-    int in_flight = 0;  // own calls
-    int tokens = 0;     // own, of prompts whose first token is to come
-    endpoint_load told; // by all peers together
-    int reported = 0;   // running + waiting by its own report
+    int in_flight = 0; // own calls
+    int tokens = 0;    // own, of prompts whose first token is to come
+    int reported = 0;  // running + waiting by its own report
     int own_at_report = 0;
     time_point reported_at{};
     int failures = 0; // in a row
@@ -1104,10 +1148,23 @@
     std::uint64_t incarnation = 0;
     std::string zone;
     std::string caller_address;
+    time_point opened{}; // its hello came
     time_point heard{};
+    bool closing = false; // by this node, which needs it no more
     heartbeat last;
     std::map<std::string, double> spending; // units a second, by organisation
     time_point spending_at{};               // newest word on that
+    // Newest totals that the peer told; empty: it tells what is new instead.
+    std::optional<std::map<std::string, double>> spent_totals;
+    std::map<std::string, double> handed; // units that came from below
+};
+
+// A node that this one wants a link with, or has failed to reach.
+struct dial_state
+{
+    time_point wanted_since{};
+    time_point tried_at{};   // time_point{}: no try is open
+    time_point not_before{}; // of the next one
 };
 
 // Units that an organisation may still spend here.
@@ -1115,7 +1172,9 @@
 {
     double left = 0;        // units of the own share
     double common = 0;      // units that all nodes together may still spend
-    double spent = 0;       // units since the start of this node
+    double spent = 0;       // units told to the other hubs since the start
+    double fresh = 0;       // units since then, of this node and those below
+    double seen = 0;        // units of all nodes, as far as was heard here
     double untold = 0;      // of these, from `common`, since the last heartbeat
     double share = 0;       // of the organisation's rate
     double demand = 0;      // units a second, moving mean
@@ -1136,7 +1195,8 @@
     time_point held_until{};   // of the own lease
     time_point asked_at{};     // newest append; time_point{}: none open
     time_point append_sent{};
-    usage_counts own;                             // of this node
+    usage_counts own;   // of this node and those below, told to other hubs
+    usage_counts fresh; // since then
     std::map<std::string, usage_counts> others;   // by node
     std::map<std::int64_t, usage_report> intents; // not known to be reported
     std::int64_t reported_to = 0;                 // windows below are reported
@@ -1242,6 +1302,15 @@
     std::map<std::string, double> retry_tokens; // by pool
     std::map<std::string, quota_state> quotas;  // by organisation
     std::size_t listed_nodes = 0; // in the registry, this one included
+    std::uint64_t hub = 0; // link to the node above; 0: this one is a hub
+    std::size_t rank = 0;  // among live nodes, for what a few do for all
+    time_point links_planned_at{};
+    time_point config_asked_at{};            // of a peer
+    std::map<std::string, dial_state> dials; // by node
+    std::unordered_map<std::uint32_t, endpoint_load>
+        told;                 // by all peers together, by endpoint_key()
+    time_point store_as_of{}; // the registry's newest word that is known here
+    follow_store follows;     // what is read of it now
     duty_state duties;
     std::map<std::string, work_rate> work; // of this node, by pool
     time_point work_since{};               // the first of it
@@ -1288,11 +1357,12 @@
 // nullptr when there is none.
 config_snapshot const* closing_checkpoint(log_read const& read);
 
-// The peers that a node dials, so that the links of all nodes together form
-// a connected graph of the given degree; all peers when there are few.
-std::vector<std::string> links_to_dial(std::string const& self,
-                                       std::vector<std::string> const& names,
-                                       int degree);
+// How many of so many nodes are hubs. Each hub keeps a link with each other
+// one; each other node keeps one, with a hub of its zone if there is one.
+std::size_t hub_count(std::size_t nodes);
+
+// The key of an endpoint in a heartbeat.
+std::uint32_t endpoint_key(std::string_view endpoint);
 
 // The route of a host whose path prefix is the longest that begins the path;
 // empty when none matches.
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -166,14 +166,26 @@
                   : j.value("body", "");
 }
 
-PAPAYAHOOK_JSON(hello, protocol, node, incarnation, zone, caller_address, proof)
-PAPAYAHOOK_JSON(endpoint_load, calls, tokens)
-PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, demand, spent, calls,
-                work, usage)
+PAPAYAHOOK_JSON(hello, protocol, node, incarnation, zone, caller_address,
+                peer_address, capacity, proof)
+
+// Three numbers an endpoint: a heartbeat may hold hundreds of them.
+inline void to_json(nlohmann::json& j, endpoint_load const& it)
+{
+    j = {it.calls, it.tokens};
+}
+
+inline void from_json(nlohmann::json const& j, endpoint_load& it)
+{
+    it = {j.at(0), j.at(1)};
+}
+
+PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, under, parting, nodes,
+                listed_nodes, store_age, demand, spent, work, calls, usage)
 PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
 PAPAYAHOOK_JSON(version_veto, move, started, reason)
 PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
-                caller_address)
+                caller_address, peer_address, capacity)
 PAPAYAHOOK_JSON(version_counts, answers, failed, slow)
 PAPAYAHOOK_JSON(move_counts, move, node, incarnation, started, stage, from, to)
 PAPAYAHOOK_JSON(successor_news, node, incarnation, successor)
@@ -221,8 +233,9 @@
 PAPAYAHOOK_NAME(instance_list)
 PAPAYAHOOK_NAME(relay_ended)
 PAPAYAHOOK_NAME(config_published)
-PAPAYAHOOK_NAME(endpoint_listed)
+PAPAYAHOOK_NAME(endpoints_listed)
 PAPAYAHOOK_NAME(nodes_listed)
+PAPAYAHOOK_NAME(dial_failed)
 PAPAYAHOOK_NAME(duties_read)
 PAPAYAHOOK_NAME(duty_append_done)
 PAPAYAHOOK_NAME(usage_reported)
@@ -245,6 +258,8 @@
 PAPAYAHOOK_NAME(append)
 PAPAYAHOOK_NAME(send_peer)
 PAPAYAHOOK_NAME(close_peer)
+PAPAYAHOOK_NAME(dial_peer)
+PAPAYAHOOK_NAME(follow_store)
 PAPAYAHOOK_NAME(append_duty)
 PAPAYAHOOK_NAME(report_usage)
 PAPAYAHOOK_NAME(order_endpoints)
@@ -337,8 +352,9 @@
 PAPAYAHOOK_JSON(instance_list, instances)
 PAPAYAHOOK_JSON(relay_ended, id)
 PAPAYAHOOK_JSON(config_published, what)
-PAPAYAHOOK_JSON(endpoint_listed, what)
-PAPAYAHOOK_JSON(nodes_listed, count)
+PAPAYAHOOK_JSON(endpoints_listed, entries, whole_at)
+PAPAYAHOOK_JSON(nodes_listed, nodes)
+PAPAYAHOOK_JSON(dial_failed, node)
 PAPAYAHOOK_JSON(duties_read, end, entries)
 PAPAYAHOOK_JSON(duty_append_done, ok)
 PAPAYAHOOK_JSON(usage_reported, window, ok)
@@ -346,13 +362,14 @@
 PAPAYAHOOK_JSON(pool_move_ordered, at, pool, to, within)
 PAPAYAHOOK_JSON(pool_move_reported, what, ok)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
-                max_queue, max_backlog, max_attempts, retry_budget, retry_burst,
-                retry_sharers, claim_batch, append_budget, outcome_linger,
-                max_shared_body, max_shared_bytes, first_token_target,
-                service_wait, hop_cost, prefill_per_token, endpoint_pause,
-                report_horizon, heartbeat_period, peer_timeout, stage_time,
-                move_margin, answer_linger, hand_over_after, hands_over,
-                accept_while_leaving, leave_within, exit_linger,
+                peer_address, capacity, max_queue, max_backlog, max_attempts,
+                retry_budget, retry_burst, retry_sharers, claim_batch,
+                append_budget, outcome_linger, max_shared_body,
+                max_shared_bytes, first_token_target, service_wait, hop_cost,
+                prefill_per_token, endpoint_pause, report_horizon,
+                heartbeat_period, peer_timeout, hub_timeout, store_word_age,
+                stage_time, move_margin, answer_linger, hand_over_after,
+                hands_over, accept_while_leaving, leave_within, exit_linger,
                 quota_overshoot, quota_slack, quota_window, holds_duties,
                 plans_fleet, lease, usage_window, usage_delay, relist_grace,
                 claim_horizon, append_retry, checkpoint_every,
@@ -374,6 +391,8 @@
 PAPAYAHOOK_JSON(append, append, stream, id, records)
 PAPAYAHOOK_JSON(send_peer, link, message)
 PAPAYAHOOK_JSON(close_peer, link)
+PAPAYAHOOK_JSON(dial_peer, node, address)
+PAPAYAHOOK_JSON(follow_store, registry, duties)
 PAPAYAHOOK_JSON(append_duty, at, record)
 PAPAYAHOOK_JSON(report_usage, fencing, what)
 PAPAYAHOOK_JSON(order_endpoints, fencing, pool, zone, reclaimable, count)
@@ -592,6 +611,10 @@
                                 {"heard", it.heard},
                                 {"last", it.last}});
     out["members"] = s.members;
+    out["hub"] = s.hub;
+    out["rank"] = s.rank;
+    out["store_as_of"] = s.store_as_of;
+    out["follows"] = s.follows;
     out["successors"] = s.successors;
     out["leaving_endpoints"] = s.known_leaving;
     out["organisation_in_flight"] = s.in_flight;
@@ -625,7 +648,8 @@
 {
     return keyed_digest(key, std::to_string(it.protocol) + "\n" + it.node +
                                  "\n" + std::to_string(it.incarnation) + "\n" +
-                                 it.zone + "\n" + it.caller_address);
+                                 it.zone + "\n" + it.caller_address + "\n" +
+                                 it.peer_address);
 }
 
 } // namespace papayahook::codec
--- a/src/codec/text.cpp
+++ b/src/codec/text.cpp
@@ -1,6 +1,7 @@
 #include "codec/text.hpp"
 
 #include <algorithm>
+#include <fstream>
 #include <openssl/evp.h>
 #include <stdexcept>
 
@@ -28,6 +29,12 @@
     return out;
 }
 
+std::string read_text(std::string const& path)
+{
+    std::ifstream in(path);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
 std::string decode_base64(std::string const& text)
 {
     std::string out(text.size(), '\0');
--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -9,6 +9,7 @@
 #include "core/internal.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayahook::core {
 
@@ -68,9 +69,9 @@
 void take_lease(node_state& s, effects& out)
 {
     auto& d = s.duties;
-    if (!d.read_once || s.leaving)
+    if (!d.read_once || s.leaving || !may_hold_duties(s))
         return;
-    auto const rank = duty_rank(s, "duties");
+    auto const rank = s.rank;
     auto const free_at =
         d.newest.holder.empty() || d.newest.release
             ? d.newest_seen + rank * successor_step
@@ -91,6 +92,7 @@
             out.counts[name] += n;
     };
     add(s.duties.own);
+    add(s.duties.fresh);
     for (auto const& [node, counts] : s.duties.others)
         add(counts);
     return out;
@@ -234,22 +236,25 @@
         hold(s, out);
     else
         take_lease(s, out);
-    std::erase_if(d.own, [&](auto const& it) {
+    auto const is_over = [&](auto const& it) {
         return it.first + kept_windows < window_of(s, s.now);
-    });
+    };
+    std::erase_if(d.own, is_over);
+    std::erase_if(d.fresh, is_over);
 }
 
 void count_usage(node_state& s, std::string const& organisation)
 {
     if (s.settings.holds_duties && !organisation.empty())
-        s.duties.own[window_of(s, s.now)][organisation]++;
+        s.duties.fresh[window_of(s, s.now)][organisation]++;
 }
 
-// The newest windows of this node, for the holder and its successors.
-usage_counts own_usage(node_state const& s)
+// The newest windows of this node and those below it, for the other hubs.
+usage_counts own_usage(node_state& s)
 {
     usage_counts out;
-    auto const& own = s.duties.own;
+    auto& own = s.duties.own;
+    add_usage(own, std::exchange(s.duties.fresh, {}));
     auto it = own.rbegin();
     for (std::size_t n = 0; n < max_windows_per_beat && it != own.rend();
          ++n, ++it)
@@ -257,13 +262,17 @@
     return out;
 }
 
-void learn_usage(node_state& s, peer_state const& p, usage_counts const& e)
+void learn_usage(node_state& s, peer_state const& p, heartbeat const& e)
 {
     if (!s.settings.holds_duties)
         return;
+    if (e.under) {
+        add_usage(s.duties.fresh, e.usage);
+        return;
+    }
     // Counts of a process that has ended stay beside those of its successor.
     auto& known = s.duties.others[p.node + "/" + std::to_string(p.incarnation)];
-    for (auto const& [window, counts] : e)
+    for (auto const& [window, counts] : e.usage)
         known[window] = counts;
     auto const oldest = window_of(s, s.now) - kept_windows;
     std::erase_if(known, [&](auto const& it) { return it.first < oldest; });
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -30,8 +30,6 @@
 bool is_leaving(node_state const& s, endpoint const& e);
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version, bool in_share);
-// Takes a peer's word on its calls in place of its earlier word.
-void replace_load(node_state& s, heartbeat const& before, heartbeat const& now);
 void note_prefill(node_state& s, request_state& r, endpoint const& e);
 void end_prefill(node_state& s, request_state& r, bool answered);
 bool has_endpoint(node_state const& s, std::string const& pool,
@@ -103,7 +101,18 @@
                          effects& out);
 // Refuses what waits for a route or by a key that is no longer in force.
 void refuse_withdrawn(node_state& s, effects& out);
-bool learn_endpoint(node_state& s, endpoint_entry const& e, effects& out);
+void on_endpoints_listed(node_state& s, endpoints_listed const& e,
+                         effects& out);
+// Entries that a peer passes on.
+void learn_endpoints(node_state& s, std::vector<endpoint_entry> const& e,
+                     effects& out);
+// Another node, or the store itself, knows what the registry said so long ago.
+void learn_store_age(node_state& s, std::chrono::milliseconds age,
+                     effects& out);
+// This node follows the stream on which the lease stands.
+bool may_hold_duties(node_state const& s);
+// Decides what this node reads of the store.
+void tend_store(node_state& s, effects& out);
 // Listed once, and now to be given no work.
 bool is_out_of_use(node_state const& s, endpoint_state const& known);
 void forget_endpoints(node_state& s);
@@ -126,8 +135,8 @@
 void on_usage_reported(node_state& s, usage_reported const& e, effects& out);
 void tend_duties(node_state& s, effects& out);
 void count_usage(node_state& s, std::string const& organisation);
-usage_counts own_usage(node_state const& s);
-void learn_usage(node_state& s, peer_state const& p, usage_counts const& e);
+usage_counts own_usage(node_state& s);
+void learn_usage(node_state& s, peer_state const& p, heartbeat const& e);
 
 // fleet.cpp: endpoints ordered for all
 void count_work(node_state& s, request_state const& r, double prefill_us);
@@ -189,7 +198,6 @@
 void on_peer_opened(node_state& s, peer_opened const& e, effects& out);
 void on_peer_message(node_state& s, peer_received const& e, effects& out);
 void on_peer_closed(node_state& s, peer_closed const& e, effects& out);
-void send_heartbeats(node_state& s, effects& out);
 void check_peers(node_state& s, effects& out);
 void send_to_peer(node_state& s, std::uint64_t link, peer_message message,
                   effects& out);
@@ -198,6 +206,28 @@
 // Position of this node for a duty among live members; 0 holds it.
 int duty_rank(node_state const& s, std::string const& duty);
 
+// links.cpp: which nodes are linked
+void plan_links(node_state& s, effects& out);
+void on_nodes_listed(node_state& s, nodes_listed const& e);
+void on_dial_failed(node_state& s, dial_failed const& e);
+// The peer's hello has come.
+void note_linked(node_state& s, peer_state& p);
+
+// sums.cpp: figures of all nodes
+void send_heartbeats(node_state& s, effects& out);
+// The first heartbeat on a link; has no figures.
+void greet(node_state& s, peer_state const& p, effects& out);
+// The last heartbeat on a link that this node closes.
+void say_goodbye(node_state& s, peer_state const& p, effects& out);
+// Takes a peer's figures in place of its earlier ones.
+void replace_figures(node_state& s, peer_state& p, heartbeat e);
+void drop_figures(node_state& s, peer_state const& p);
+void add_usage(usage_counts& to, usage_counts const& from);
+// Calls of all other nodes, as far as they told.
+endpoint_load told_load(node_state const& s, std::string const& endpoint);
+// Nodes whose figures the peer tells.
+std::size_t nodes_in(node_state const& s, peer_state const& p);
+
 // handover.cpp: requests of a leaving node
 void hand_over_requests(node_state& s, effects& out);
 void on_hand_over(node_state& s, peer_state const& p, hand_over const& e,
@@ -263,6 +293,8 @@
 inline constexpr int peer_down = 602;
 inline constexpr int peer_refused = 603;
 inline constexpr int member_changed = 604;
+inline constexpr int hub_chosen = 605;
+inline constexpr int store_followed = 305;
 inline constexpr int move_stage = 701;
 inline constexpr int move_vetoed = 702;
 inline constexpr int move_ended = 703;
--- /dev/null
+++ b/src/core/links.cpp
@@ -0,0 +1,224 @@
+// Links: which other nodes a node keeps links with.
+//
+// Up to `small_fleet` nodes every pair is linked. In a larger fleet some nodes
+// are hubs: these are linked with one another, and each other node with one of
+// them. The hubs are the first live nodes by capacity and hash, so that all
+// nodes pick the same ones without a word between them. Where their views
+// differ for a while, a node that others hang under without being a hub passes
+// on what they say.
+#include "core/internal.hpp"
+
+#include <algorithm>
+
+namespace papayahook::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t small_fleet = 8; // up to here every pair is linked
+constexpr std::size_t least_hubs = 8;  // in a larger one
+// Nodes to a hub. A hub has about as many links to hubs as to others where
+// there are some 300 nodes.
+constexpr std::size_t nodes_per_hub = 18;
+constexpr auto plan_period = 500ms;
+// Of two hubs the first by name dials; the other does so after this time.
+constexpr auto dial_patience = 1'500ms;
+constexpr auto dial_again = 3s; // after one that failed, a node counts as gone
+
+bool is_failed(node_state const& s, std::string const& node)
+{
+    auto const it = s.dials.find(node);
+    return it != s.dials.end() && s.now < it->second.not_before;
+}
+
+bool has_link(node_state const& s, std::string const& node)
+{
+    return std::ranges::any_of(
+        s.peers, [&](auto const& it) { return it.second.node == node; });
+}
+
+using ranked_nodes = std::vector<member_news const*>;
+
+// Live nodes, those of most capacity first. One that has no link at all cannot
+// know who lives.
+ranked_nodes rank_nodes(node_state const& s)
+{
+    bool const alone = s.peers.empty();
+    ranked_nodes out;
+    for (auto const& [name, it] : s.members) {
+        bool const self = name == s.settings.name;
+        bool const lives = (it.up || alone) && !is_failed(s, name);
+        if (self || lives)
+            out.push_back(&it);
+    }
+    std::ranges::sort(out, {}, [](auto const* it) {
+        return std::tuple(-it->capacity, hash_of("hub/" + it->node), it->node);
+    });
+    return out;
+}
+
+void dial(node_state& s, member_news const& to, effects& out)
+{
+    auto& it = s.dials[to.node];
+    bool const open = it.tried_at != time_point{} &&
+                      s.now < it.tried_at + duration(dial_again);
+    if (open || s.now < it.not_before || to.peer_address.empty())
+        return;
+    it.tried_at = s.now;
+    out.push_back(dial_peer{to.node, to.peer_address});
+}
+
+void link_hubs(node_state& s, ranked_nodes const& hubs, effects& out)
+{
+    for (auto const* it : hubs) {
+        if (it->node == s.settings.name || has_link(s, it->node))
+            continue;
+        auto& known = s.dials[it->node];
+        if (known.wanted_since == time_point{})
+            known.wanted_since = s.now;
+        bool const first = s.settings.name < it->node;
+        if (first || s.now >= known.wanted_since + duration(dial_patience))
+            dial(s, *it, out);
+    }
+}
+
+// The hub of this node's zone that a hash names, or else any hub.
+member_news const* preferred_hub(node_state const& s, ranked_nodes const& hubs)
+{
+    auto const place = [&](auto const* it) {
+        return std::tuple(it->zone != s.settings.zone,
+                          hash_of(s.settings.name + "/" + it->node));
+    };
+    auto const it = std::ranges::min_element(hubs, {}, place);
+    return it == hubs.end() ? nullptr : *it;
+}
+
+// Closes a link without a word that its node is down.
+void part(node_state& s, std::uint64_t link, effects& out)
+{
+    auto const it = s.peers.find(link);
+    if (it == s.peers.end() || it->second.closing)
+        return;
+    it->second.closing = true;
+    say_goodbye(s, it->second, out);
+    out.push_back(close_peer{link});
+}
+
+void leave_hub(node_state& s, effects& out)
+{
+    if (s.hub != 0)
+        part(s, s.hub, out);
+    s.hub = 0;
+}
+
+bool is_silent(node_state const& s, std::string const& node)
+{
+    return std::ranges::any_of(s.peers, [&](auto const& it) {
+        return it.second.node == node &&
+               it.second.heard + s.settings.hub_timeout <= s.now;
+    });
+}
+
+void link_to_hub(node_state& s, ranked_nodes hubs, effects& out)
+{
+    std::erase_if(hubs, [&](auto const* it) { return is_silent(s, it->node); });
+    auto const* const hub = preferred_hub(s, hubs);
+    if (hub == nullptr)
+        return;
+    auto const link = std::ranges::find_if(
+        s.peers, [&](auto const& it) { return it.second.node == hub->node; });
+    if (link == s.peers.end()) {
+        dial(s, *hub, out);
+        return;
+    }
+    if (link->first == s.hub)
+        return;
+    leave_hub(s, out);
+    s.hub = link->first;
+    note(out, events::hub_chosen, hub->node, hub->zone,
+         "rank " + std::to_string(s.rank) + " of " +
+             std::to_string(s.members.size()));
+}
+
+// Links that neither side needs any more. What hangs under this node stays.
+void close_spare_links(node_state& s, effects& out)
+{
+    for (auto& [link, p] : s.peers) {
+        bool const spare = s.hub != 0 && link != s.hub && !p.node.empty() &&
+                           !p.last.under &&
+                           s.now >= p.opened + duration(dial_patience);
+        if (spare)
+            part(s, link, out);
+    }
+}
+
+} // namespace
+
+std::size_t hub_count(std::size_t nodes)
+{
+    if (nodes <= small_fleet)
+        return nodes;
+    return std::max(least_hubs, (nodes + nodes_per_hub - 1) / nodes_per_hub);
+}
+
+void plan_links(node_state& s, effects& out)
+{
+    if (s.now < s.links_planned_at + duration(plan_period))
+        return;
+    s.links_planned_at = s.now;
+    s.members.try_emplace(
+        s.settings.name,
+        member_news{s.settings.name, s.settings.incarnation, 0, true,
+                    s.settings.zone, s.settings.caller_address,
+                    s.settings.peer_address, s.settings.capacity});
+    auto const all = rank_nodes(s);
+    auto const self = std::ranges::find(
+        all, s.settings.name, [](auto const* it) { return it->node; });
+    if (self == all.end() || s.leaving)
+        return;
+    s.rank = static_cast<std::size_t>(self - all.begin());
+    auto const count = hub_count(all.size());
+    ranked_nodes const hubs(
+        all.begin(),
+        all.begin() + static_cast<std::ptrdiff_t>(std::min(count, all.size())));
+    if (s.rank < count) {
+        leave_hub(s, out);
+        link_hubs(s, hubs, out);
+    }
+    else {
+        link_to_hub(s, hubs, out);
+        close_spare_links(s, out);
+    }
+}
+
+void on_nodes_listed(node_state& s, nodes_listed const& e)
+{
+    for (auto const& it : e.nodes) {
+        auto& known = s.members[it.node];
+        if (!known.node.empty())
+            continue;
+        known = it;
+        known.up = true; // until it is found to be gone
+        known.incarnation = 0;
+    }
+    s.listed_nodes = std::max(s.listed_nodes, s.members.size());
+    s.links_planned_at = {};
+}
+
+void on_dial_failed(node_state& s, dial_failed const& e)
+{
+    auto& it = s.dials[e.node];
+    it = {};
+    it.not_before = s.now + duration(dial_again);
+    s.links_planned_at = {}; // another one takes its place
+}
+
+void note_linked(node_state& s, peer_state& p)
+{
+    s.dials.erase(p.node);
+    p.opened = s.now;
+    s.links_planned_at = {};
+}
+
+} // namespace papayahook::core
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -7,7 +7,11 @@
 
 namespace {
 
-constexpr std::size_t small_fleet = 8; // up to here every pair is linked
+using namespace std::chrono_literals;
+
+// All peers tell of a new configuration at once, and in quick succession of
+// several; one answer is enough, and the newest says all.
+constexpr auto config_patience = 200ms;
 
 member_news& self_entry(node_state& s)
 {
@@ -16,25 +20,12 @@
     it.incarnation = s.settings.incarnation;
     it.zone = s.settings.zone;
     it.caller_address = s.settings.caller_address;
+    it.peer_address = s.settings.peer_address;
+    it.capacity = s.settings.capacity;
     it.up = !s.leaving;
     return it;
 }
 
-heartbeat own_heartbeat(node_state& s)
-{
-    heartbeat out;
-    out.config = s.config.applied;
-    out.in_flight = static_cast<int>(s.calls.size());
-    out.leaving = s.leaving;
-    tell_quotas(s, out);
-    for (auto const& [name, it] : s.endpoints)
-        if (it.in_flight > 0)
-            out.calls[name] = {it.in_flight, it.tokens};
-    out.work = own_work(s);
-    out.usage = own_usage(s);
-    return out;
-}
-
 bool is_empty(news const& it)
 {
     return it.leaving.empty() && it.vetoes.empty() && it.members.empty() &&
@@ -83,10 +74,33 @@
     if (!known.node.empty() && !supersedes(e, known))
         return false;
     bool const changed = known.up != e.up || known.node.empty();
+    // One that was listed is no news when it turns out to live.
+    bool const told = changed || known.incarnation != 0 ||
+                      known.caller_address != e.caller_address;
     known = e;
-    if (changed)
+    if (changed) {
+        s.links_planned_at = {};
         note(out, events::member_changed, e.node, "", e.up ? "up" : "down");
-    return true;
+    }
+    return told;
+}
+
+// A node that has a new link needs no older one.
+void drop_older_links(node_state& s, peer_state const& p, hello const& e,
+                      effects& out)
+{
+    std::vector<std::uint64_t> older;
+    for (auto const& [link, it] : s.peers)
+        if (it.node == e.node && link != p.link)
+            older.push_back(link);
+    for (auto const link : older) {
+        drop_figures(s, s.peers.at(link));
+        on_offer_lost(s, link, out);
+        s.peers.erase(link);
+        if (s.hub == link)
+            s.hub = 0;
+        out.push_back(close_peer{link});
+    }
 }
 
 void on_hello(node_state& s, peer_state& p, hello const& e, effects& out)
@@ -97,13 +111,16 @@
         out.push_back(close_peer{p.link});
         return;
     }
+    drop_older_links(s, p, e, out);
     p.node = e.node;
     p.incarnation = e.incarnation;
     p.zone = e.zone;
     p.caller_address = e.caller_address;
+    note_linked(s, p);
     note(out, events::peer_up, e.node, e.zone, "");
     auto const known = s.members[e.node];
-    member_news up{e.node, e.incarnation, 0, true, e.zone, e.caller_address};
+    member_news up{e.node,           e.incarnation,  0,         true, e.zone,
+                   e.caller_address, e.peer_address, e.capacity};
     if (known.incarnation == e.incarnation)
         up.sequence = known.sequence + (known.up ? 0 : 1);
     if (learn_member(s, up, out)) {
@@ -111,24 +128,28 @@
         item.members.push_back(up);
         spread(s, item, p.link, out);
     }
+    greet(s, p, out);
+    send_to_peer(s, p.link, all_news(s), out);
+    if (auto moves = all_pool_moves(s); !moves.moves.empty())
+        send_to_peer(s, p.link, std::move(moves), out);
 }
 
 void on_heartbeat(node_state& s, peer_state& p, heartbeat const& e,
                   effects& out)
 {
-    learn_spending(s, p, e);
-    replace_load(s, p.last, e);
-    p.last = e;
-    learn_usage(s, p, e.usage);
-    if (e.config > s.config.applied)
-        send_to_peer(s, p.link, config_request{s.config.applied + 1}, out);
+    replace_figures(s, p, e);
+    learn_store_age(s, e.store_age, out);
+    bool const asked = s.now < s.config_asked_at + duration(config_patience);
+    if (e.config <= s.config.applied || asked)
+        return;
+    s.config_asked_at = s.now;
+    send_to_peer(s, p.link, config_request{s.config.applied + 1}, out);
 }
 
 void on_news(node_state& s, peer_state const& p, news const& e, effects& out)
 {
     news fresh;
-    for (auto const& it : e.endpoints)
-        learn_endpoint(s, it, out); // spreads what is new itself
+    learn_endpoints(s, e.endpoints, out); // spreads what is new itself
     for (auto const& it : e.leaving)
         learn_leaving(s, it, out);
     for (auto const& it : e.vetoes)
@@ -168,12 +189,17 @@
     if (it == s.peers.end())
         return;
     auto const p = it->second;
-    replace_load(s, p.last, {});
+    drop_figures(s, p);
     s.peers.erase(it);
+    s.links_planned_at = {};
+    if (s.hub == link)
+        s.hub = 0;
     on_offer_lost(s, link, out);
     if (p.node.empty())
         return;
     note(out, events::peer_down, p.node, "", why);
+    if (p.closing || p.last.parting)
+        return;
     bool const other_link = std::ranges::any_of(
         s.peers, [&](auto const& n) { return n.second.node == p.node; });
     if (other_link)
@@ -192,35 +218,6 @@
 
 } // namespace
 
-std::vector<std::string> links_to_dial(std::string const& self,
-                                       std::vector<std::string> const& names,
-                                       int degree)
-{
-    std::vector<std::string> out;
-    if (names.size() <= small_fleet) {
-        // One of each pair dials.
-        std::ranges::copy_if(names, std::back_inserter(out),
-                             [&](auto const& it) { return it > self; });
-        return out;
-    }
-    // Successors on rings of different order: a random regular graph.
-    for (int ring = 0; ring < degree / 2; ++ring) {
-        auto const salt = std::to_string(ring) + "/";
-        auto const place = [&](std::string const& it) {
-            return std::pair(hash_of(salt + it), it);
-        };
-        auto sorted = names;
-        sorted.push_back(self);
-        std::ranges::sort(sorted, {}, place);
-        auto const here = std::ranges::find(sorted, self);
-        auto const next = std::next(here);
-        auto const& pick = next == sorted.end() ? sorted.front() : *next;
-        if (pick != self && std::ranges::find(out, pick) == out.end())
-            out.push_back(pick);
-    }
-    return out;
-}
-
 std::ptrdiff_t live_members(node_state const& s)
 {
     return std::ranges::count_if(s.members,
@@ -258,15 +255,12 @@
     auto& p = s.peers[e.link];
     p.link = e.link;
     p.heard = s.now;
+    auto const& own = s.settings;
     send_to_peer(s, e.link,
-                 hello{protocol_version, s.settings.name,
-                       s.settings.incarnation, s.settings.zone,
-                       s.settings.caller_address, s.settings.hello_proof},
+                 hello{protocol_version, own.name, own.incarnation, own.zone,
+                       own.caller_address, own.peer_address, own.capacity,
+                       own.hello_proof},
                  out);
-    send_to_peer(s, e.link, own_heartbeat(s), out);
-    send_to_peer(s, e.link, all_news(s), out);
-    if (auto moves = all_pool_moves(s); !moves.moves.empty())
-        send_to_peer(s, e.link, std::move(moves), out);
 }
 
 void on_peer_message(node_state& s, peer_received const& e, effects& out)
@@ -301,21 +295,6 @@
     lose_peer(s, e.link, "link closed", out);
 }
 
-void send_heartbeats(node_state& s, effects& out)
-{
-    if (s.now < s.heartbeat_at + s.settings.heartbeat_period)
-        return;
-    s.heartbeat_at = s.now;
-    self_entry(s);
-    auto const beat = own_heartbeat(s);
-    for (auto const& [link, p] : s.peers)
-        if (!p.node.empty())
-            send_to_peer(s, link, beat, out);
-    news counts;
-    counts.counts = own_counts(s);
-    spread(s, counts, 0, out);
-}
-
 // A link may look open long after the other end is gone.
 void check_peers(node_state& s, effects& out)
 {
@@ -323,7 +302,10 @@
     for (auto const& [link, p] : s.peers)
         if (p.heard + s.settings.peer_timeout <= s.now)
             silent.push_back(link);
+    // Where all are silent at once it is this node that was away.
+    bool const away = silent.size() > 1 && silent.size() == s.peers.size();
     for (auto const link : silent) {
+        s.peers.at(link).closing |= away;
         out.push_back(close_peer{link});
         lose_peer(s, link, "no heartbeat in time", out);
     }
--- a/src/core/pool_moves.cpp
+++ b/src/core/pool_moves.cpp
@@ -87,7 +87,7 @@
         bool const old =
             it.value.pool == m.pool && it.value.version != m.spec.to;
         if (old && known != s.endpoints.end())
-            out += known->second.in_flight + known->second.told.calls;
+            out += known->second.in_flight + told_load(s, known->first).calls;
     }
     return out;
 }
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -9,6 +9,7 @@
 #include "core/internal.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace papayahook::core {
 
@@ -31,9 +32,12 @@
 constexpr double saved_part = 0.25;
 constexpr double common_part = 0.5;
 constexpr double most_hidden = 0.25; // part of the nodes, out of sight
+constexpr double most_late = 0.06;   // part of the nodes: none of a few
 constexpr auto fresh_beats = 1.5;
-constexpr double untold_shares = 2; // even shares, between two heartbeats
-constexpr int silent_beats = 3;     // heartbeats missed by a peer out of sight
+// Even shares and requests of a node, until its peers know.
+constexpr double untold_shares = 2;
+constexpr double untold_requests = 1.5;
+constexpr int silent_beats = 3; // heartbeats missed by a peer out of sight
 
 double node_count(node_state const& s)
 {
@@ -51,12 +55,15 @@
 
 double visible_peers(node_state const& s)
 {
-    return static_cast<double>(std::ranges::count_if(
-        s.peers, [&](auto const& it) { return is_visible(s, it.second); }));
+    double out = 0;
+    for (auto const& [link, p] : s.peers)
+        if (is_visible(s, p))
+            out += static_cast<double>(nodes_in(s, p));
+    return out;
 }
 
-// Nearly all nodes are in sight and none of them has missed a heartbeat: they
-// hear this node as well.
+// Nearly all nodes are in sight and next to none of them has missed a
+// heartbeat: they hear this node as well.
 bool hears_all(node_state const& s)
 {
     double const hidden = node_count(s) - 1 - visible_peers(s);
@@ -64,9 +71,11 @@
         return false;
     auto const late = std::chrono::duration_cast<duration>(
         fresh_beats * duration(s.settings.heartbeat_period));
-    return std::ranges::none_of(s.peers, [&](auto const& it) {
-        return is_visible(s, it.second) && s.now > it.second.heard + late;
-    });
+    double late_nodes = 0;
+    for (auto const& [link, p] : s.peers)
+        if (is_visible(s, p) && s.now > p.heard + late)
+            late_nodes += static_cast<double>(nodes_in(s, p));
+    return late_nodes <= std::floor(most_late * node_count(s));
 }
 
 // Nodes that are known and out of sight may spend their even part as well.
@@ -122,35 +131,43 @@
     q.counted_at = s.now;
 }
 
-// What peers are taken to spend until they tell.
-double expected_rate(node_state const& s, std::string const& name,
-                     double quota_rate)
+double seconds_since(node_state const& s, time_point at)
+{
+    return at == time_point{}
+               ? 0
+               : std::chrono::duration<double>(s.now - at).count();
+}
+
+// What peers are taken to have spent since their last word.
+double untold_by_peers(node_state const& s, std::string const& name)
 {
     double out = 0;
     for (auto const& [link, p] : s.peers) {
         auto const it = p.spending.find(name);
         bool const counts = is_visible(s, p) && it != p.spending.end();
-        out += counts ? it->second : 0;
+        out += counts ? it->second * seconds_since(s, p.spending_at) : 0;
     }
-    double const hidden = std::max(0.0, node_count(s) - 1 - visible_peers(s));
-    return out + hidden * quota_rate / node_count(s);
+    return out;
+}
+
+// Part of the rate that nodes out of sight may spend: their even parts.
+double hidden_part(node_state const& s)
+{
+    double const nodes = node_count(s);
+    return std::max(0.0, nodes - 1 - visible_peers(s)) / nodes;
 }
 
 void fill(node_state const& s, organisation const& org, quota_state& q)
 {
-    double const passed =
-        q.filled_at == time_point{}
-            ? 0
-            : std::chrono::duration<double>(s.now - q.filled_at).count();
+    double const passed = seconds_since(s, q.filled_at);
     q.filled_at = s.now;
     // The demand that peers know counts, or the shares would add up to more.
     q.share = part_of(s, org.name, q.told_demand);
     auto const b = bucket_of(s, org);
     q.left = std::min(q.share * saved_part * b.size,
                       q.left + passed * q.share * b.rate);
-    q.common = std::min(
-        b.size,
-        q.common + passed * (b.rate - expected_rate(s, org.name, b.rate)));
+    q.common =
+        std::min(b.size, q.common + passed * (1 - hidden_part(s)) * b.rate);
 }
 
 } // namespace
@@ -180,24 +197,31 @@
     double const most = bucket_of(s, org).size;
     // A request larger than all that can be saved up goes when that is full.
     double const needed = std::min(cost, q.share * saved_part * most);
-    bool const in_share = q.left >= needed && q.left > 0;
-    // Until its peers know what it has spent, a node takes one request or a
-    // part of the common account that most nodes could take at once.
-    double const spare = q.common - common_part * most;
+    double const common = q.common - untold_by_peers(s, org.name);
+    // Nodes that had not yet heard of one another have spent too much: nobody
+    // spends until that is made up for.
+    bool const in_share = q.left >= needed && q.left > 0 && common > 0;
+    // Until its peers know what it has spent, a node takes a request or two,
+    // or a part of the common account that most nodes could take at once.
+    double const spare = common - common_part * most;
     bool const little =
         q.untold + cost <= untold_shares * spare / node_count(s);
-    bool const in_common = spare >= cost && (little || q.untold == 0);
+    bool const few = q.untold < untold_requests * cost;
+    bool const in_common = spare >= cost && (little || few);
     if (in_share)
         q.left -= cost;
     else if (in_common)
         q.untold += cost;
     if (in_share || in_common) {
         q.common -= cost;
-        q.spent += cost;
+        q.fresh += cost;
+        q.seen += cost;
         return std::nullopt;
     }
     double const rate = std::max(1.0, q.share * bucket_of(s, org).rate);
-    auto const wait = std::chrono::duration<double>((needed - q.left) / rate);
+    double const owed = std::max(0.0, -common) / bucket_of(s, org).rate;
+    auto const wait =
+        std::chrono::duration<double>(std::max(owed, (needed - q.left) / rate));
     return std::clamp<std::chrono::milliseconds>(
         std::chrono::ceil<std::chrono::milliseconds>(wait), soonest, latest);
 }
@@ -236,32 +260,44 @@
     bool const heard = hears_all(s);
     for (auto& [name, q] : s.quotas) {
         sample_demand(s, q);
+        auto const org = s.config.organisations.find(name);
+        if (org != s.config.organisations.end())
+            fill(s, org->second.value, q);
         if (heard) {
             q.told_demand = q.demand;
             q.untold = 0;
         }
         out.demand[name] = q.told_demand;
-        out.spent[name] = q.spent;
     }
 }
 
-// Sets what a peer was taken to have spent since its last word right.
+// What a peer has spent since its last word.
 void learn_spending(node_state& s, peer_state& p, heartbeat const& e)
 {
-    auto const passed =
-        std::chrono::duration<double>(s.now - p.spending_at).count();
+    double const passed = seconds_since(s, p.spending_at);
     bool const first = p.spending_at == time_point{};
     p.spending_at = s.now;
+    // The first totals that a peer tells are where its later ones begin.
+    bool const begins = !e.under && !p.spent_totals;
+    auto const& totals = p.spent_totals;
     for (auto const& [name, spent] : e.spent) {
-        auto const before = p.last.spent.find(name);
-        double const base = before == p.last.spent.end() ? 0 : before->second;
-        double const delta = std::max(0.0, spent - base);
+        double const base =
+            !totals || !totals->contains(name) ? 0 : totals->at(name);
+        double const delta = begins ? 0 : std::max(0.0, spent - base);
         double& rate = p.spending[name];
-        auto const q = s.quotas.find(name);
-        if (q != s.quotas.end() && !first)
-            q->second.common -= delta - rate * passed;
+        auto& q = s.quotas[name];
+        q.common -= delta;
+        q.seen += delta;
+        if (e.under) {
+            q.fresh += delta;
+            p.handed[name] += delta;
+        }
         rate = first || passed <= 0 ? 0 : delta / passed;
     }
+    if (e.under)
+        p.spent_totals.reset();
+    else
+        p.spent_totals = e.spent;
 }
 
 } // namespace papayahook::core
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -47,6 +47,8 @@
 
 void on_log_reachable(node_state& s, log_reachable const& e, effects& out)
 {
+    if (e.reachable)
+        learn_store_age(s, std::chrono::milliseconds(0), out);
     if (s.log_reachable == e.reachable)
         return;
     s.log_reachable = e.reachable;
@@ -71,6 +73,8 @@
     fresh.zone = s.settings.zone;
     fresh.incarnation = s.settings.incarnation;
     fresh.caller_address = s.settings.caller_address;
+    fresh.peer_address = s.settings.peer_address;
+    fresh.capacity = s.settings.capacity;
     fresh.hello_proof = s.settings.hello_proof;
     s.settings = std::move(fresh);
 }
@@ -123,6 +127,8 @@
     flush_claims(s, out);
     expire_claims(s);
     check_peers(s, out);
+    plan_links(s, out);
+    tend_store(s, out);
     evaluate_moves(s, out);
     write_checkpoint(s, out);
     send_heartbeats(s, out);
@@ -162,8 +168,11 @@
             [&](config_published const& it) {
                 on_config_published(s, it, out);
             },
-            [&](endpoint_listed const& it) { learn_endpoint(s, it.what, out); },
-            [&](nodes_listed const& it) { s.listed_nodes = it.count; },
+            [&](endpoints_listed const& it) {
+                on_endpoints_listed(s, it, out);
+            },
+            [&](nodes_listed const& it) { on_nodes_listed(s, it); },
+            [&](dial_failed const& it) { on_dial_failed(s, it); },
             [&](duties_read const& it) { on_duties_read(s, it, out); },
             [&](duty_append_done const& it) { on_duty_append(s, it); },
             [&](endpoints_ordered const& it) { on_ordered(s, it, out); },
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -98,6 +98,9 @@
     }
 }
 
+namespace {
+
+// Whether the entry says anything new.
 bool learn_endpoint(node_state& s, endpoint_entry const& e, effects& out)
 {
     auto& known = s.endpoints[e.name];
@@ -125,14 +128,49 @@
         it.value = e.what;
         it.revision = e.at;
     }
-    if (!changed)
-        return false;
-    describe(known.entry, out);
+    if (changed)
+        describe(known.entry, out);
+    return changed;
+}
+
+// Entries that were dropped while nobody here was reading: a whole list that
+// is newer leaves them out.
+std::vector<endpoint_entry> missing_from(node_state const& s,
+                                         endpoints_listed const& e)
+{
+    std::set<std::string> named;
+    for (auto const& it : e.entries)
+        named.insert(it.name);
+    std::vector<endpoint_entry> out;
+    for (auto const& [name, known] : s.endpoints) {
+        bool const gone = known.entry.present && known.entry.at < *e.whole_at &&
+                          !named.contains(name);
+        if (gone)
+            out.push_back({*e.whole_at, name, false, false, {}});
+    }
+    return out;
+}
+
+} // namespace
+
+void learn_endpoints(node_state& s, std::vector<endpoint_entry> const& e,
+                     effects& out)
+{
     news item;
-    item.endpoints.push_back(e);
+    std::ranges::copy_if(
+        e, std::back_inserter(item.endpoints),
+        [&](auto const& it) { return learn_endpoint(s, it, out); });
+    if (item.endpoints.empty())
+        return;
     spread(s, item, 0, out);
     drain_queues(s, out);
-    return true;
+}
+
+void on_endpoints_listed(node_state& s, endpoints_listed const& e, effects& out)
+{
+    learn_endpoints(s, e.entries, out);
+    if (e.whole_at)
+        learn_endpoints(s, missing_from(s, e), out);
 }
 
 bool is_out_of_use(node_state const& s, endpoint_state const& known)
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -62,10 +62,10 @@
     double const reported = std::max(0, known.reported - known.own_at_report);
     double const guess = std::min<double>(pool.others_mean, e.slots);
     load_estimate out;
-    double const others = std::max<double>(trust * reported, known.told.calls);
+    auto const told = told_load(s, e.name);
+    double const others = std::max<double>(trust * reported, told.calls);
     out.seen = known.in_flight + others;
-    bool const told = known.told.calls > 0;
-    out.expected = out.seen + (told ? 0 : (1 - trust) * guess);
+    out.expected = out.seen + (told.calls > 0 ? 0 : (1 - trust) * guess);
     return out;
 }
 
@@ -154,7 +154,7 @@
         e.zone == s.settings.zone
             ? 0.0
             : static_cast<double>(duration(s.settings.hop_cost).count());
-    int const ahead = known.tokens + known.told.tokens;
+    int const ahead = known.tokens + told_load(s, e.name).tokens;
     double const prefill = e.kind == endpoint_kind::model_runner
                                ? (uncached_tokens(r, known, is_home) + ahead) *
                                      prefill_us(s, e.pool)
@@ -221,25 +221,6 @@
     });
 }
 
-void replace_load(node_state& s, heartbeat const& before, heartbeat const& now)
-{
-    for (auto const& [name, it] : before.calls) {
-        auto const known = s.endpoints.find(name);
-        if (known == s.endpoints.end())
-            continue;
-        auto& told = known->second.told;
-        told.calls = std::max(0, told.calls - it.calls);
-        told.tokens = std::max(0, told.tokens - it.tokens);
-    }
-    for (auto const& [name, it] : now.calls) {
-        auto const known = s.endpoints.find(name);
-        if (known == s.endpoints.end())
-            continue;
-        known->second.told.calls += it.calls;
-        known->second.told.tokens += it.tokens;
-    }
-}
-
 void note_prefill(node_state& s, request_state& r, endpoint const& e)
 {
     if (e.kind != endpoint_kind::model_runner)
@@ -247,7 +228,7 @@
     auto& known = s.endpoints[e.name];
     auto const home = home_of(s, r, e.pool, r.version);
     r.prefill_tokens = uncached_tokens(r, known, e.name == home);
-    r.prefill_ahead = known.tokens + known.told.tokens;
+    r.prefill_ahead = known.tokens + told_load(s, e.name).tokens;
     known.tokens += r.prefill_tokens;
     count_work(s, r, prefill_us(s, e.pool));
 }
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -17,7 +17,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_period = 50ms;
-constexpr auto redial_period = 500ms;
 
 std::string proof_of(node const& n, core::hello const& it)
 {
@@ -112,34 +111,34 @@
     handle(n, core::peer_received{link, std::move(message)});
 }
 
+void perform(node& n, core::dial_peer const& it)
+{
+    n.dialled[n.links->connect(it.address)] = it.node;
+}
+
+// Nothing is done for these but by an adapter.
+void perform(node&, core::follow_store const&) {}
+
 void on_link_closed(node& n, link_id link)
 {
-    auto const it = n.dialled_as.find(link);
-    if (it != n.dialled_as.end()) {
-        n.dialled.erase(it->second);
-        n.dialled_as.erase(it);
-    }
-    handle(n, core::peer_closed{link});
+    // Before it was open the core knew nothing of the link.
+    auto const dialled = n.dialled.extract(link);
+    if (dialled.empty())
+        handle(n, core::peer_closed{link});
+    else
+        handle(n, core::dial_failed{dialled.mapped()});
 }
 
-void dial_peers(node& n)
+core::nodes_listed nodes_in_settings(node const& n)
 {
-    std::vector<std::string> names;
-    std::ranges::transform(n.set.peers, std::back_inserter(names),
-                           &peer_setting::name);
-    auto const wanted =
-        core::links_to_dial(n.set.core.name, names, n.set.link_degree);
-    for (auto const& peer : n.set.peers) {
-        bool const dial =
-            std::ranges::find(wanted, peer.name) != wanted.end() &&
-            !n.dialled.contains(peer.name);
-        if (!dial)
-            continue;
-        auto const link = n.links->connect(peer.address);
-        n.dialled[peer.name] = link;
-        n.dialled_as[link] = peer.name;
+    core::nodes_listed out;
+    for (auto const& it : n.set.peers) {
+        core::member_news peer;
+        peer.node = it.name;
+        peer.peer_address = it.address;
+        out.nodes.push_back(std::move(peer));
     }
-    after(n, redial_period, [&n] { dial_peers(n); });
+    return out;
 }
 
 void tick(node& n)
@@ -199,6 +198,7 @@
 {
     link_handlers handlers;
     handlers.on_open = [&n](link_id it, bool) {
+        n.dialled.erase(it);
         handle(n, core::peer_opened{it});
     };
     handlers.on_message = [&n](link_id it, std::string const& bytes) {
@@ -220,6 +220,7 @@
       boot_at_start(time_since_boot()), client(io),
       signals(io, SIGTERM, SIGINT, SIGHUP), ticker(io)
 {
+    set.core.peer_address = set.peer.text();
     state.settings = set.core;
     state.settings.incarnation = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(
@@ -301,6 +302,7 @@
     read_log(n, "claims");
     read_instances(n);
     poll_endpoints(n);
+    handle(n, nodes_in_settings(n));
 }
 
 } // namespace
@@ -324,7 +326,6 @@
         write_log({events::node_started, n.set.core.name, "",
                    "caller " + n.set.core.caller_address + " admin " +
                        n.set.admin.text() + " peer " + n.set.peer.text()});
-        dial_peers(n);
         tick(n);
         n.io.run();
         write_log({events::node_stopped, n.set.core.name, "", ""});
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -81,10 +81,9 @@
     std::uint64_t next_request = 1;
     std::map<core::request_id, open_request> requests;
     std::map<core::call_id, open_call> calls;
-    std::map<std::string, link_id> dialled;    // by peer name
-    std::map<link_id, std::string> dialled_as; // and back
-    std::size_t next_poll = 0;                 // endpoint to ask for its load
-    int log_failures = 0;                      // in a row
+    std::map<link_id, std::string> dialled; // not open yet; by whose address
+    std::size_t next_poll = 0;              // endpoint to ask for its load
+    int log_failures = 0;                   // in a row
     std::ofstream record;
 };
 
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -11,6 +11,23 @@
 
 namespace papayahook::runtime {
 
+std::optional<address> address_of(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == text.npos)
+        return std::nullopt;
+    address out;
+    out.ip = text.substr(0, colon);
+    asio::error_code ec;
+    asio::ip::make_address(out.ip, ec);
+    auto const* const last = text.data() + text.size();
+    auto const [end, port_ec] =
+        std::from_chars(text.data() + colon + 1, last, out.port);
+    bool const sound =
+        !ec && port_ec == std::errc{} && end == last && out.port != 0;
+    return sound ? std::optional(out) : std::nullopt;
+}
+
 namespace {
 
 using codec::table_reader;
@@ -20,21 +37,10 @@
 
 address parse_address(table_reader& it, std::string_view key)
 {
-    auto const text = it.required_text(key);
-    auto const colon = text.rfind(':');
-    address out;
-    out.ip = text.substr(0, colon);
-    std::error_code ec;
-    asio::ip::make_address(out.ip, ec);
-    auto const digits =
-        colon == text.npos ? std::string{} : text.substr(colon + 1);
-    auto const [end, port_ec] =
-        std::from_chars(digits.data(), digits.data() + digits.size(), out.port);
-    bool const sound = !ec && port_ec == std::errc{} && !digits.empty() &&
-                       end == digits.data() + digits.size() && out.port != 0;
-    if (!sound)
+    auto const out = address_of(it.required_text(key));
+    if (!out)
         it.fail(key, "\"IP:PORT\" by number is expected");
-    return out;
+    return out.value_or(address{});
 }
 
 // A table that may be left out reads as an empty one.
@@ -109,7 +115,6 @@
     read_count(it, "max_connections", out.max_connections, million);
     read_count(it, "max_peer_message_bytes", out.max_peer_message_bytes,
                gigabyte);
-    read_count(it, "link_degree", out.link_degree, 64);
     read_count(it, "checkpoint_every", out.core.checkpoint_every, million);
     out.polls_per_second =
         it.number("polls_per_second", out.polls_per_second, 0.1, 1000);
@@ -226,7 +231,6 @@
         << "\nmax_header_count = " << it.max_header_count
         << "\nmax_connections = " << it.max_connections
         << "\nmax_peer_message_bytes = " << it.max_peer_message_bytes
-        << "\nlink_degree = " << it.link_degree
         << "\ncheckpoint_every = " << it.core.checkpoint_every
         << "\npolls_per_second = " << it.polls_per_second
         << "\n\n[timeouts]\nhop_cost_ms = " << ms(it.core.hop_cost)
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -13,6 +13,9 @@
     std::string text() const { return ip + ":" + std::to_string(port); }
 };
 
+// By number; empty where the text is none.
+std::optional<address> address_of(std::string const& text);
+
 struct peer_setting
 {
     std::string name;
@@ -26,7 +29,6 @@
     address admin;                      // state, metrics, health
     address peer;                       // links of other nodes
     std::vector<peer_setting> peers;    // without this node
-    int link_degree = 6;                // links per node in a large fleet
     std::string log_address;            // platform's log, "ip:port"
     std::string instances_address;      // platform's list; empty: none
     std::vector<std::string> peer_keys; // first proves, all are accepted
--- a/test/handover_test.cpp
+++ b/test/handover_test.cpp
@@ -116,10 +116,21 @@
     start_generations(s);
 }
 
+// Links that fell silent while no message was delivered are dialled anew.
+void reopen_lost_links(session& s)
+{
+    for (std::size_t a = 0; a < nodes; ++a)
+        for (std::size_t b = a + 1; b < nodes; ++b)
+            if (!s.w.nodes[a].peers.contains(b + 1) ||
+                !s.w.nodes[b].peers.contains(a + 1))
+                cut_link(s, a, b);
+}
+
 // Both nodes leave; their own generations get no further, as when they are
 // longer than the notice.
 void finish(session& s)
 {
+    reopen_lost_links(s);
     for (std::size_t i = 0; i < stays; ++i)
         give(s.w, i, core::shutdown_requested{});
     constexpr auto notice = 4s;
--- a/test/members_test.cpp
+++ b/test/members_test.cpp
@@ -1,9 +1,9 @@
 // Leaving endpoints, news between nodes, links and duties.
 #include "support/choices.hpp"
+#include "support/fabric.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <deque>
 
 using namespace papayahook;
 using namespace papayahook::support;
@@ -162,32 +162,111 @@
 
 TEST_CASE("the links of a large fleet form one connected graph")
 {
-    constexpr int count = 330;
-    std::vector<std::string> names;
-    for (int i = 0; i < count; ++i)
-        names.push_back("n" + std::to_string(i));
-    std::map<std::string, std::set<std::string>> graph;
-    for (auto const& self : names) {
-        auto others = names;
-        std::erase(others, self);
-        auto const dialled = core::links_to_dial(self, others, 6);
-        CHECK(dialled.size() <= 3);
-        for (auto const& it : dialled) {
-            graph[self].insert(it);
-            graph[it].insert(self);
-        }
+    constexpr std::size_t count = 330;
+    constexpr std::size_t large = 15;
+    constexpr std::size_t zones = 5;
+    auto f = make_fabric(count, zones, large);
+    run(f, 5s);
+    auto const hubs = core::hub_count(count);
+    auto const far = reach(f);
+    REQUIRE(far);
+    CHECK(*far <= 4); // from the first node over two hubs to any other
+    std::size_t one_link = 0;
+    std::size_t own_zone = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        auto const linked = linked_with(f, i);
+        CHECK(linked.size() <= 2 * hubs + 30);
+        if (linked.size() != 1)
+            continue;
+        one_link++;
+        own_zone += *linked.begin() % zones == i % zones ? 1 : 0;
     }
-    std::map<std::string, int> hops{{names[0], 0}};
-    std::deque<std::string> open{names[0]};
-    int farthest = 0;
-    while (!open.empty()) {
-        auto const at = open.front();
-        open.pop_front();
-        for (auto const& next : graph[at])
-            if (hops.emplace(next, hops[at] + 1).second)
-                open.push_back(next);
-        farthest = std::max(farthest, hops[at]);
+    CHECK(one_link == count - hubs);
+    CHECK(own_zone == one_link); // each zone has hubs among the large nodes
+    // Those of most capacity carry the others.
+    for (std::size_t i = 0; i < large; ++i)
+        CHECK(linked_with(f, i).size() >= hubs - 1);
+}
+
+TEST_CASE("a few nodes are all linked with one another")
+{
+    auto f = make_fabric(8, 3);
+    run(f, 3s);
+    for (std::size_t i = 0; i < 8; ++i)
+        CHECK(linked_with(f, i).size() == 7);
+}
+
+TEST_CASE("nodes whose hub dies take another one and come back to it")
+{
+    auto f = make_fabric(60, 3, 9);
+    run(f, 5s);
+    REQUIRE(reach(f));
+    kill(f, 0);
+    kill(f, 3);
+    run(f, 3s);
+    for (std::size_t i = 1; i < 60; ++i)
+        if (i != 3)
+            CHECK_FALSE(linked_with(f, i).empty());
+    restart(f, 0);
+    restart(f, 3);
+    run(f, 6s);
+    CHECK(reach(f));
+    CHECK(linked_with(f, 0).size() >= core::hub_count(60) - 1);
+}
+
+TEST_CASE("a node that leaves its hub for another is not said to be down")
+{
+    auto f = make_fabric(60, 3, 9);
+    run(f, 5s);
+    kill(f, 0);
+    run(f, 3s);
+    restart(f, 0);
+    for (auto& it : f.others)
+        it.clear();
+    run(f, 6s); // those that prefer it move back
+    auto const downs = [](auto const& effects) {
+        return std::ranges::any_of(effects, [](auto const& it) {
+            auto const* const e = std::get_if<core::log_event>(&it);
+            return e != nullptr && e->number == 604 && e->detail == "down";
+        });
+    };
+    CHECK(std::ranges::none_of(f.others, downs));
+}
+
+TEST_CASE("a fleet that was cut into single nodes finds together again")
+{
+    auto f = make_fabric(40, 3, 6);
+    run(f, 5s);
+    for (std::size_t i = 0; i < 40; ++i)
+        f.cut.insert(i);
+    run(f, 5s);
+    f.cut.clear();
+    run(f, 10s);
+    CHECK(reach(f));
+}
+
+TEST_CASE("one peer of many is asked for a new configuration")
+{
+    auto f = make_fabric(8, 3);
+    run(f, 3s);
+    core::config_snapshot doc;
+    doc.applied = 100;
+    give(f, 0, core::config_published{doc});
+    f.messages_sent = 0;
+    deliver(f);
+    run(f, 100ms);
+    for (auto const& it : f.nodes)
+        CHECK(it.config.applied == 100);
+    // Of each node a question, its answer, and word to all that it has it.
+    CHECK(f.messages_sent <= 8 * (2 + 2 * 7));
+    // A storm of versions costs a few questions.
+    f.messages_sent = 0;
+    for (core::offset at = 101; at < 150; ++at) {
+        doc.applied = at;
+        give(f, 0, core::config_published{doc});
+        deliver(f);
     }
-    CHECK(hops.size() == names.size());
-    CHECK(farthest <= 8); // 8 hops of less than a second each: target 8 s
+    run(f, 500ms);
+    for (auto const& it : f.nodes)
+        CHECK(it.config.applied == 149);
 }
--- a/test/pool_moves_test.cpp
+++ b/test/pool_moves_test.cpp
@@ -74,9 +74,9 @@
         p.w.nodes[i].settings.holds_duties = true;
         give(p.w, i, core::config_published{document()});
         for (auto const* const name : {"a1", "a2"})
-            give(p.w, i, core::endpoint_listed{entry(1, name, "v1")});
+            give(p.w, i, core::endpoints_listed{{entry(1, name, "v1")}, {}});
         for (auto const* const name : {"b1", "b2"})
-            give(p.w, i, core::endpoint_listed{entry(2, name, "v2")});
+            give(p.w, i, core::endpoints_listed{{entry(2, name, "v2")}, {}});
     }
     link_all(p.w);
     exchange(p);
@@ -195,7 +195,7 @@
         for (auto const* const name : {"b1", "b2"}) {
             auto gone = entry(9, name, "v2");
             gone.present = false;
-            give(p.w, i, core::endpoint_listed{gone});
+            give(p.w, i, core::endpoints_listed{{gone}, {}});
         }
     run(p, within);
     CHECK(move_at(p, 0).end == core::move_end::taken_back);
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -373,7 +373,9 @@
     auto f = start_fleet({.nodes = 2, .runners = 8, .slots = 32});
     std::vector<call_plan> plans(
         200, completion(f.node(0).caller, test_key, "chat", "x", 100, true));
-    auto const got = run_beside(plans, 400ms, [&] {
+    auto const got = run_beside(plans, 0ms, [&] {
+        CHECK(eventually(
+            10s, [&] { return state(f, 0)["counts"]["requests"] == 200; }));
         post(f.log, "/fault", R"({"down": true})");
         f.node(0).run->signal(SIGTERM);
         std::this_thread::sleep_for(100ms);
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -81,22 +81,23 @@
 TEST_CASE("an endpoint that drains or is dropped gets no work")
 {
     auto w = start();
-    give(w, 0, core::endpoint_listed{listed(1, "e1")});
+    give(w, 0, core::endpoints_listed{{listed(1, "e1")}, {}});
     CHECK(sent_to(w) == "e1");
     auto draining = listed(3, "e1");
     draining.draining = true;
-    give(w, 0, core::endpoint_listed{draining});
+    give(w, 0, core::endpoints_listed{{draining}, {}});
     CHECK(sent_to(w).empty());
-    give(w, 0, core::endpoint_listed{listed(2, "e1")}); // late, by a peer
+    give(w, 0,
+         core::endpoints_listed{{listed(2, "e1")}, {}}); // late, by a peer
     CHECK(sent_to(w).empty());
     auto reborn = listed(4, "e1");
     reborn.what.incarnation = "2";
-    give(w, 0, core::endpoint_listed{reborn});
+    give(w, 0, core::endpoints_listed{{reborn}, {}});
     CHECK(sent_to(w) == "e1");
     core::endpoint_entry gone;
     gone.at = 5;
     gone.name = "e1";
-    give(w, 0, core::endpoint_listed{gone});
+    give(w, 0, core::endpoints_listed{{gone}, {}});
     CHECK(sent_to(w).empty());
 }
 
@@ -104,18 +105,18 @@
 {
     auto w = start();
     give(w, 0, core::log_reachable{true});
-    give(w, 0, core::endpoint_listed{listed(1, "e1")});
+    give(w, 0, core::endpoints_listed{{listed(1, "e1")}, {}});
     give(w, 0, core::log_reachable{false});
     pass_time(w, 5s);
     give(w, 0, core::log_reachable{true});
     core::endpoint_entry gone;
     gone.at = 2;
     gone.name = "e1";
-    give(w, 0, core::endpoint_listed{gone});
+    give(w, 0, core::endpoints_listed{{gone}, {}});
     CHECK(sent_to(w) == "e1");
     pass_time(w, 2'100ms);
     CHECK(sent_to(w).empty());
-    give(w, 0, core::endpoint_listed{listed(3, "e1")});
+    give(w, 0, core::endpoints_listed{{listed(3, "e1")}, {}});
     CHECK(sent_to(w) == "e1");
 }
 
@@ -126,9 +127,11 @@
     for (std::size_t n = 0; n < 3; ++n) {
         give(w, n, core::config_published{document(101)});
         for (int i = 0; i < 9; ++i)
-            give(w, n,
-                 core::endpoint_listed{listed(static_cast<core::offset>(i + 1),
-                                              "e" + std::to_string(i))});
+            give(
+                w, n,
+                core::endpoints_listed{{listed(static_cast<core::offset>(i + 1),
+                                               "e" + std::to_string(i))},
+                                       {}});
         core::request_arrived e;
         e.id = "x" + std::to_string(n);
         e.route = "/a/";
@@ -144,8 +147,8 @@
 TEST_CASE("a long prompt goes round an endpoint that reads another one")
 {
     auto w = start();
-    give(w, 0, core::endpoint_listed{listed(1, "e1")});
-    give(w, 0, core::endpoint_listed{listed(2, "e2")});
+    give(w, 0, core::endpoints_listed{{listed(1, "e1")}, {}});
+    give(w, 0, core::endpoints_listed{{listed(2, "e2")}, {}});
     auto const first = sent_to(w);
     auto const second = sent_to(w);
     CHECK(first != second);
@@ -162,8 +165,9 @@
     constexpr int busy = 4; // kept busy by two prompts a second
     for (int i = 0; i < at_start; ++i)
         give(w, 0,
-             core::endpoint_listed{listed(static_cast<core::offset>(i + 1),
-                                          "e" + std::to_string(i))});
+             core::endpoints_listed{{listed(static_cast<core::offset>(i + 1),
+                                            "e" + std::to_string(i))},
+                                    {}});
     give(w, 0, core::duties_read{});
     std::map<bool, std::vector<int>> ordered; // by kind
     std::uint64_t end = 0;
@@ -192,7 +196,7 @@
                         auto e =
                             listed(next_offset++, "spare" + std::to_string(i));
                         e.what.reclaimable = true;
-                        give(w, 0, core::endpoint_listed{e});
+                        give(w, 0, core::endpoints_listed{{e}, {}});
                     }
                     give(w, 0,
                          core::endpoints_ordered{o->pool, o->zone,
@@ -262,8 +266,13 @@
     s.retry_budget = 0;
     s.retry_sharers = 8;
     int const known = GENERATE(2, 16);
-    give(w, 0, core::nodes_listed{static_cast<std::size_t>(known)});
-    give(w, 0, core::endpoint_listed{listed(1, "e1")});
+    core::nodes_listed nodes;
+    nodes.nodes.resize(static_cast<std::size_t>(known));
+    for (int i = 0; i < known; ++i)
+        nodes.nodes[static_cast<std::size_t>(i)].node =
+            "n" + std::to_string(i + 1);
+    give(w, 0, nodes);
+    give(w, 0, core::endpoints_listed{{listed(1, "e1")}, {}});
     for (int n = 0; n < 10; ++n) {
         ask(w);
         w.nodes[0].endpoints["e1"].paused_until = {};
