Plan endpoints by the larger of prompts' time and calls' slots

Change: work is the larger of the two, slots may be fuller than time, the planned fill is 0.4. Requests that found no room count as demand.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -357,6 +357,13 @@
 // Loads by endpoint_key() of the endpoint's name; ascending, none is empty.
 using endpoint_loads = std::vector<std::pair<std::uint32_t, endpoint_load>>;
 
+// What a pool has to do, in endpoints.
+struct pool_work
+{
+    double reading = 0; // kept busy by prompts
+    double writing = 0; // whose slots are taken by calls
+};
+
 // Figures are sums over `nodes` nodes. Which ones, and whether `spent` and
 // `usage` are totals or what has come since the last one, depends on how the
 // two nodes stand to one another: see src/core/sums.cpp.
@@ -372,7 +379,7 @@
     std::chrono::milliseconds store_age{}; // of the registry's newest word
     std::map<std::string, double> demand;  // units a second, by organisation
     std::map<std::string, double> spent;   // units, likewise
-    std::map<std::string, double> work;    // endpoints kept busy, by pool
+    std::map<std::string, pool_work> work; // by pool
     endpoint_loads calls;
     usage_counts usage; // newest windows
 };
@@ -1207,8 +1214,8 @@
 // Endpoint time that requests of a pool ask for.
 struct work_rate
 {
-    double rate = 0;    // endpoints kept busy, moving mean
-    double seconds = 0; // of endpoint time since counted_at
+    pool_work mean;     // moving
+    double seconds = 0; // of reading since counted_at
     time_point counted_at{};
 };
 
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -180,6 +180,7 @@
     it = {j.at(0), j.at(1)};
 }
 
+PAPAYAHOOK_JSON(pool_work, reading, writing)
 PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving, under, parting, nodes,
                 listed_nodes, store_age, demand, spent, work, calls, usage)
 PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -265,11 +265,13 @@
     for (auto const& id : late) {
         auto& r = s.requests.at(id);
         // A refusal before this one may have made room for it.
-        if (r.phase == request_phase::queued)
-            refuse_request(s, r,
-                           {503, outcome::not_run, step::queue, "",
-                            "no endpoint had room in time", retry_soon},
-                           out);
+        if (r.phase != request_phase::queued)
+            continue;
+        count_unserved(s, r);
+        refuse_request(s, r,
+                       {503, outcome::not_run, step::queue, "",
+                        "no endpoint had room in time", retry_soon},
+                       out);
     }
 }
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -19,12 +19,12 @@
 
 // Parts of an endpoint's time that are planned to be used: without one zone,
 // while lost endpoints are being replaced, and when all reclaimable ones go.
-constexpr double planned_fill = 0.3;
+constexpr double planned_fill = 0.4;
 constexpr double replaced_fill = 0.65;
 constexpr double tight_fill = 0.65;
-// Calls beside which prompts are still read at nearly full speed, as a part of
-// the slots.
-constexpr double light_part = 0.5;
+// Slots may be fuller than an endpoint's time: calls share its steps at little
+// cost, while prompts wait for one another.
+constexpr double slots_to_time = 1.5;
 constexpr auto work_period = 500ms; // of one sample of the moving mean
 constexpr double work_step = 0.1;
 constexpr auto plan_period = 500ms;
@@ -58,25 +58,29 @@
     return out;
 }
 
-// Endpoints that reading prompts and writing answers keep busy.
+// Endpoints that the calls and prompts of all nodes would keep busy.
 double work_of(node_state const& s, std::string const& pool)
 {
     auto const own = s.work.find(pool);
-    double out = own == s.work.end() ? 0 : own->second.rate;
+    auto sum = own == s.work.end() ? pool_work{} : own->second.mean;
     for (auto const& [link, p] : s.peers) {
         auto const it = p.last.work.find(pool);
-        out += it == p.last.work.end() ? 0 : it->second;
+        if (it == p.last.work.end())
+            continue;
+        sum.reading += it->second.reading;
+        sum.writing += it->second.writing;
     }
-    return out;
+    return std::max(sum.reading, sum.writing / slots_to_time);
 }
 
-double own_fill(node_state const& s, std::string const& pool)
+double own_writing(node_state const& s, std::string const& pool)
 {
     double out = 0;
     for (auto const& [name, known] : s.endpoints) {
         auto const it = s.config.endpoints.find(name);
         if (it != s.config.endpoints.end() && it->second.value.pool == pool)
-            out += known.in_flight / (light_part * it->second.value.slots);
+            out += static_cast<double>(known.in_flight) /
+                   std::max(1, it->second.value.slots);
     }
     return out;
 }
@@ -154,9 +158,10 @@
     auto const passed = s.now - it.counted_at;
     if (passed < duration(work_period))
         return;
-    double const rate =
+    double const reading =
         it.seconds / std::chrono::duration<double>(passed).count();
-    it.rate += work_step * (rate + own_fill(s, pool) - it.rate);
+    it.mean.reading += work_step * (reading - it.mean.reading);
+    it.mean.writing += work_step * (own_writing(s, pool) - it.mean.writing);
     it.seconds = 0;
     it.counted_at = s.now;
 }
@@ -171,12 +176,21 @@
         s.work_since = s.now;
 }
 
-std::map<std::string, double> own_work(node_state& s)
+void count_unserved(node_state& s, request_state const& r)
+{
+    constexpr double us = 1e-6;
+    auto const per_token = s.prefill_us.find(r.pool);
+    if (!r.asked.block_tokens.empty() && per_token != s.prefill_us.end())
+        s.work[r.pool].seconds +=
+            us * r.asked.block_tokens.back() * per_token->second;
+}
+
+std::map<std::string, pool_work> own_work(node_state& s)
 {
-    std::map<std::string, double> out;
+    std::map<std::string, pool_work> out;
     for (auto& [name, it] : s.work) {
         sample_work(s, name, it);
-        out[name] = it.rate;
+        out[name] = it.mean;
     }
     return out;
 }
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -140,7 +140,9 @@
 
 // fleet.cpp: endpoints ordered for all
 void count_work(node_state& s, request_state const& r, double prefill_us);
-std::map<std::string, double> own_work(node_state& s);
+std::map<std::string, pool_work> own_work(node_state& s);
+// A request that found no room asks for as much as one that did.
+void count_unserved(node_state& s, request_state const& r);
 void plan_fleet(node_state& s, effects& out);
 void on_ordered(node_state& s, endpoints_ordered const& e, effects& out);
 
--- a/src/core/sums.cpp
+++ b/src/core/sums.cpp
@@ -43,6 +43,15 @@
         to[name] += sign * it;
 }
 
+void add(std::map<std::string, pool_work>& to,
+         std::map<std::string, pool_work> const& from)
+{
+    for (auto const& [name, it] : from) {
+        to[name].reading += it.reading;
+        to[name].writing += it.writing;
+    }
+}
+
 void add(usage_counts& to, usage_counts const& from)
 {
     for (auto const& [window, counts] : from)
