Learn the time of a prompt's token by a straight line through first-token times

Cause: the time of a token was taken from whole first-token times, which hold the network, the first step and the first event: 25 us a token were believed where 8 are true, so work, and with it the endpoints ordered, came out three times too high. Ruled out: unknown caches of endpoints (a part, not a factor of three). Change: slope of first-token time over tokens read, newest samples first; the planned fills 0.45 and 0.7 now stand on a true measure.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1211,6 +1211,17 @@
     time_point report_at{};                       // not before
 };
 
+// Times to the first token over tokens to read: a straight line through the
+// newest ones. What does not depend on the prompt falls into its offset.
+struct prefill_fit
+{
+    double weight = 0; // of the samples, decaying
+    double tokens = 0; // weighted sums
+    double us = 0;
+    double tokens_squared = 0;
+    double tokens_us = 0;
+};
+
 // Endpoint time that requests of a pool ask for.
 struct work_rate
 {
@@ -1331,6 +1342,7 @@
     std::map<std::pair<std::string, offset>, std::string> vetoes;
     std::deque<successor_news> successors;    // newest last, bounded
     std::map<std::string, double> prefill_us; // a token, by pool; learned
+    std::map<std::string, prefill_fit> prefill_fits; // likewise
     std::deque<decision> decisions;
     time_point heartbeat_at{};
     call_id next_call = 1;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -19,9 +19,9 @@
 
 // Parts of an endpoint's time that are planned to be used: without one zone,
 // while lost endpoints are being replaced, and when all reclaimable ones go.
-constexpr double planned_fill = 0.4;
-constexpr double replaced_fill = 0.65;
-constexpr double tight_fill = 0.65;
+constexpr double planned_fill = 0.45;
+constexpr double replaced_fill = 0.7;
+constexpr double tight_fill = 0.7;
 // Slots may be fuller than an endpoint's time: calls share its steps at little
 // cost, while prompts wait for one another.
 constexpr double slots_to_time = 1.5;
@@ -112,7 +112,8 @@
          std::string(reclaimable ? "reclaimable" : "lasting") + ", wanted " +
              std::to_string(wanted) + ", there " + std::to_string(now_there) +
              ", work " + std::to_string(work_of(s, pool_name)) +
-             " endpoints, fencing " + std::to_string(s.duties.fencing));
+             " endpoints at " + std::to_string(s.prefill_us[pool_name]) +
+             " us a token, fencing " + std::to_string(s.duties.fencing));
     out.push_back(order_endpoints{s.duties.fencing, pool_name, zone,
                                   reclaimable, wanted});
 }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -13,11 +13,11 @@
 constexpr std::size_t max_prefixes = 8192; // per endpoint
 constexpr std::size_t max_leaving = 4096;
 constexpr double queue_cost_us = 100'000; // a full endpoint against an idle one
-// Prompts shorter than this say little about the time of a token.
-constexpr int telling_tokens = 2'000;
-// Waiting adds to what is seen, so a low value says more than a high one.
-constexpr double prefill_step_down = 0.2;
-constexpr double prefill_step_up = 0.01;
+constexpr double fit_decay = 0.97;        // of older samples, by each new one
+constexpr double fit_weight = 6;    // of the samples: before, nothing is said
+constexpr double fit_spread = 400;  // tokens: standard deviation, likewise
+constexpr double least_us = 1;      // a token
+constexpr double waited_factor = 4; // longer than this x expected: it waited
 
 // What is known of the load on a pool, for endpoints without a fresh report.
 struct pool_load
@@ -233,23 +233,50 @@
     count_work(s, r, prefill_us(s, e.pool));
 }
 
-// A first token tells how long the prompts before it and its own took.
+namespace {
+
+void add_sample(prefill_fit& it, double tokens, double us)
+{
+    for (auto* const sum :
+         {&it.weight, &it.tokens, &it.us, &it.tokens_squared, &it.tokens_us})
+        *sum *= fit_decay;
+    it.weight += 1;
+    it.tokens += tokens;
+    it.us += us;
+    it.tokens_squared += tokens * tokens;
+    it.tokens_us += tokens * us;
+}
+
+// Microseconds a token; nullopt while the samples do not tell.
+std::optional<double> slope_of(prefill_fit const& it)
+{
+    double const mean = it.tokens / it.weight;
+    double const variance = it.tokens_squared / it.weight - mean * mean;
+    if (it.weight < fit_weight || variance < fit_spread * fit_spread)
+        return std::nullopt;
+    double const covariance =
+        it.tokens_us / it.weight - mean * it.us / it.weight;
+    return std::max(least_us, covariance / variance);
+}
+
+} // namespace
+
+// A first token tells how long its prompt took where none was ahead of it.
 void end_prefill(node_state& s, request_state& r, bool answered)
 {
     if (r.prefill_tokens == 0)
         return;
     auto& known = s.endpoints[r.endpoint];
     known.tokens = std::max(0, known.tokens - r.prefill_tokens);
-    bool const tells =
-        answered && r.prefill_tokens >= telling_tokens && r.prefill_ahead == 0;
-    if (tells) {
-        auto const us = static_cast<double>((s.now - r.call_started).count());
-        auto const [it, added] =
-            s.prefill_us.try_emplace(r.pool, prefill_us(s, r.pool));
-        double const seen = us / (r.prefill_tokens + r.prefill_ahead);
-        it->second +=
-            (seen < it->second ? prefill_step_down : prefill_step_up) *
-            (seen - it->second);
+    auto const us = static_cast<double>((s.now - r.call_started).count());
+    bool const waited =
+        r.prefill_ahead > 0 ||
+        us > waited_factor * r.prefill_tokens * prefill_us(s, r.pool);
+    if (answered && !waited) {
+        auto& fit = s.prefill_fits[r.pool];
+        add_sample(fit, r.prefill_tokens, us);
+        if (auto const it = slope_of(fit))
+            s.prefill_us[r.pool] = *it;
     }
     r.prefill_tokens = 0;
 }
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -292,3 +292,28 @@
     CHECK(w.nodes[0].settings.quota_slack == 77);
     CHECK(w.nodes[0].settings.name == "n1");
 }
+
+TEST_CASE("the time of a token is learned apart from what each answer takes")
+{
+    auto w = start();
+    give(w, 0, core::endpoints_listed{{listed(1, "e1")}, {}});
+    constexpr auto each = 30ms; // network, first step, first event
+    constexpr auto token = 8us;
+    for (int i = 0; i < 60; ++i) {
+        core::request_arrived e;
+        e.id = "fit" + std::to_string(i);
+        e.key_digest = "key";
+        e.route = "/a/";
+        e.prompt_tokens = i % 3 == 0 ? 6'600 : 1'800;
+        give(w, 0, e);
+        REQUIRE_FALSE(w.dispatches.empty());
+        auto const call = w.dispatches.back().what.call;
+        w.now += each + e.prompt_tokens * token;
+        give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+        give(w, 0, core::answer_chunk{call, 0, "x"});
+        give(w, 0, core::answer_end{call, 1});
+    }
+    auto const learned = w.nodes[0].prefill_us.at("model");
+    CHECK(learned > 7);
+    CHECK(learned < 9);
+}
