End no stream as whole on a failure where its rest was asked for

Ruled out: framing at the front (broken-off streams are cut without an end). Change: an answer to a resumption counts only with the status and media type of the first; else the call is lost, and the stream is taken further or broken off. The test failed before.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -112,7 +112,7 @@
          std::string(reclaimable ? "reclaimable" : "lasting") + ", wanted " +
              std::to_string(wanted) + ", there " + std::to_string(now_there) +
              ", work " + std::to_string(work_of(s, pool_name)) +
-             " endpoints at " + std::to_string(s.prefill_us[pool_name]) +
+             " endpoints at " + std::to_string(prefill_us(s, pool_name)) +
              " us a token, fencing " + std::to_string(s.duties.fencing));
     out.push_back(order_endpoints{s.duties.fencing, pool_name, zone,
                                   reclaimable, wanted});
@@ -169,10 +169,10 @@
 
 } // namespace
 
-void count_work(node_state& s, request_state const& r, double prefill_us)
+void count_work(node_state& s, request_state const& r)
 {
     constexpr double us = 1e-6;
-    s.work[r.pool].seconds += us * r.prefill_tokens * prefill_us;
+    s.work[r.pool].seconds += us * r.prefill_tokens * prefill_us(s, r.pool);
     if (s.work_since == time_point{})
         s.work_since = s.now;
 }
@@ -180,10 +180,9 @@
 void count_unserved(node_state& s, request_state const& r)
 {
     constexpr double us = 1e-6;
-    auto const per_token = s.prefill_us.find(r.pool);
-    if (!r.asked.block_tokens.empty() && per_token != s.prefill_us.end())
+    if (!r.asked.block_tokens.empty())
         s.work[r.pool].seconds +=
-            us * r.asked.block_tokens.back() * per_token->second;
+            us * r.asked.block_tokens.back() * prefill_us(s, r.pool);
 }
 
 std::map<std::string, pool_work> own_work(node_state& s)
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -30,6 +30,8 @@
 bool is_leaving(node_state const& s, endpoint const& e);
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version, bool in_share);
+// Microseconds to read a token of a prompt, learned or assumed.
+double prefill_us(node_state const& s, std::string const& pool);
 void note_prefill(node_state& s, request_state& r, endpoint const& e);
 void end_prefill(node_state& s, request_state& r, bool answered);
 bool has_endpoint(node_state const& s, std::string const& pool,
@@ -139,7 +141,7 @@
 void learn_usage(node_state& s, peer_state const& p, heartbeat const& e);
 
 // fleet.cpp: endpoints ordered for all
-void count_work(node_state& s, request_state const& r, double prefill_us);
+void count_work(node_state& s, request_state const& r);
 std::map<std::string, pool_work> own_work(node_state& s);
 // A request that found no room asks for as much as one that did.
 void count_unserved(node_state& s, request_state const& r);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -125,14 +125,6 @@
            !is_leaving(s, e);
 }
 
-double prefill_us(node_state const& s, std::string const& pool)
-{
-    auto const it = s.prefill_us.find(pool);
-    return it != s.prefill_us.end()
-               ? it->second
-               : static_cast<double>(s.settings.prefill_per_token.count());
-}
-
 int uncached_tokens(request_state const& r, endpoint_state const& known,
                     bool is_home)
 {
@@ -213,6 +205,14 @@
     return s.known_leaving.contains({e.name, e.incarnation});
 }
 
+double prefill_us(node_state const& s, std::string const& pool)
+{
+    auto const it = s.prefill_us.find(pool);
+    return it != s.prefill_us.end()
+               ? it->second
+               : static_cast<double>(s.settings.prefill_per_token.count());
+}
+
 bool has_endpoint(node_state const& s, std::string const& pool,
                   std::string const& version, std::string const& schema)
 {
@@ -230,7 +230,7 @@
     r.prefill_tokens = uncached_tokens(r, known, e.name == home);
     r.prefill_ahead = known.tokens + told_load(s, e.name).tokens;
     known.tokens += r.prefill_tokens;
-    count_work(s, r, prefill_us(s, e.pool));
+    count_work(s, r);
 }
 
 namespace {
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -132,6 +132,12 @@
     return !plain_bytes_sent;
 }
 
+// Without parameters such as the character set.
+std::string_view media_type(std::string_view content_type)
+{
+    return content_type.substr(0, content_type.find(';'));
+}
+
 void lose_call(node_state& s, request_state& r, step where, bool may_have_run,
                std::string detail, effects& out)
 {
@@ -279,6 +285,19 @@
                   "status " + std::to_string(e.status), out);
         return;
     }
+    // A stream that goes on elsewhere goes on with events: anything else there
+    // is no part of it.
+    bool const fits = !r->head_sent || (e.status == r->status &&
+                                        media_type(e.content_type) ==
+                                            media_type(r->content_type));
+    if (!fits) {
+        out.push_back(cancel_call{e.call});
+        lose_call(s, *r, step::answer, true,
+                  "status " + std::to_string(e.status) +
+                      " where the rest of a stream was asked for",
+                  out);
+        return;
+    }
     if (!r->head_sent) {
         r->status = e.status;
         r->content_type = e.content_type;
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -162,6 +162,40 @@
     CHECK(s.w.bodies[id] == whole_text(id, tokens));
 }
 
+TEST_CASE("a failure where the rest of a stream was asked for is no part of it")
+{
+    auto w = make_world(1);
+    w.nodes[0].settings.max_attempts = 2; // the failure is the last word
+    auto const id = ask_chat(w, 0);
+    auto const first = w.dispatches.at(0).what.call;
+    w.dispatches.clear();
+    give(w, 0, core::answer_head{first, 200, "text/event-stream"});
+    give(w, 0, core::answer_chunk{first, 0, token(id, 0)});
+    give(
+        w, 0,
+        core::call_failed{first, core::step::receive, true, "connection lost"});
+    REQUIRE(w.dispatches.size() == 1);
+    auto const second = w.dispatches.at(0).what.call;
+    core::answer_head head;
+    head.call = second;
+    SECTION("a status of its own")
+    {
+        head.status = 500;
+        head.content_type = "text/event-stream";
+    }
+    SECTION("no events")
+    {
+        head.status = 200;
+        head.content_type = "application/json";
+    }
+    give(w, 0, head);
+    give(w, 0, core::answer_chunk{second, 1, "error"});
+    give(w, 0, core::answer_end{second, 2});
+    REQUIRE(w.ends.contains(id));
+    CHECK_FALSE(w.ends.at(id).whole);
+    CHECK(w.bodies[id] == token(id, 0));
+}
+
 TEST_CASE("a quiet call is given up and tried on a new connection")
 {
     session s;
