Place requests of many nodes by doubt: look at a few endpoints, weigh loads loosely

Cause: with many nodes a word on an endpoint's load is some tenths of a second old, as long as a call lasts. Change, beyond eight nodes: three endpoints by the request's hash and two homes by its topic are looked at, by the moving mean of their calls and a doubt of up to 1.5 of the slots.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1327,6 +1327,9 @@
     std::map<std::string, dial_state> dials; // by node
     std::unordered_map<std::uint32_t, endpoint_load>
         told;                 // by all peers together, by endpoint_key()
+    // Moving mean of it, for many nodes: what is told there is older than most
+    // calls last.
+    std::unordered_map<std::uint32_t, double> told_mean;
     time_point store_as_of{}; // the registry's newest word that is known here
     follow_store follows;     // what is read of it now
     duty_state duties;
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -229,6 +229,10 @@
 void add_usage(usage_counts& to, usage_counts const& from);
 // Calls of all other nodes, as far as they told.
 endpoint_load told_load(node_state const& s, std::string const& endpoint);
+// Likewise, as a moving mean.
+double told_calls(node_state const& s, std::string const& endpoint);
+// Whether the figures of most live nodes are known here.
+bool hears_of_most(node_state const& s);
 // Nodes whose figures the peer tells.
 std::size_t nodes_in(node_state const& s, peer_state const& p);
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -2,6 +2,7 @@
 #include "core/internal.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <numeric>
@@ -19,15 +20,33 @@
 constexpr double least_us = 1;      // a token
 constexpr double waited_factor = 4; // longer than this x expected: it waited
 
+// Many nodes that know the same loads, some tenths of a second old, would all
+// send to the one endpoint that looks best. Beyond this number of nodes each
+// request looks at a few endpoints only, which differ from request to request.
+constexpr std::ptrdiff_t few_nodes = 8;
+constexpr std::size_t looked_at = 3;
+constexpr std::size_t most_homes = 2;
+// Calls that come and go until their number is known, as a part of the slots:
+// nodes differ by so much in what they take an endpoint's load for.
+constexpr double load_doubt = 1.5;
+
+bool has_many_nodes(node_state const& s)
+{
+    return live_members(s) > few_nodes;
+}
+
 // What is known of the load on a pool, for endpoints without a fresh report.
 struct pool_load
 {
     double others_mean = 0; // calls of all other nodes, per endpoint
 };
 
-// Other nodes are taken to send what this one sends, spread evenly.
+// Other nodes are taken to send what this one sends, spread evenly; of many
+// nodes hubs tell what they send.
 pool_load load_of_pool(node_state const& s, std::string const& pool)
 {
+    if (has_many_nodes(s) && hears_of_most(s))
+        return {};
     int own = 0;
     int endpoints = 0;
     for (auto const& [name, it] : s.config.endpoints) {
@@ -62,10 +81,11 @@
     double const reported = std::max(0, known.reported - known.own_at_report);
     double const guess = std::min<double>(pool.others_mean, e.slots);
     load_estimate out;
-    auto const told = told_load(s, e.name);
-    double const others = std::max<double>(trust * reported, told.calls);
+    double const told =
+        has_many_nodes(s) ? told_calls(s, e.name) : told_load(s, e.name).calls;
+    double const others = std::max<double>(trust * reported, told);
     out.seen = known.in_flight + others;
-    out.expected = out.seen + (told.calls > 0 ? 0 : (1 - trust) * guess);
+    out.expected = out.seen + (told > 0 ? 0 : (1 - trust) * guess);
     return out;
 }
 
@@ -155,22 +175,102 @@
     return hop + prefill + fill * fill * queue_cost_us;
 }
 
-std::string home_of(node_state const& s, request_state const& r,
-                    std::string const& pool, std::string const& version)
+// Endpoints where requests about the same thing go, the first one first. One
+// thing may be asked for more often than a single endpoint can bear; with many
+// nodes a second one takes the rest.
+std::vector<std::string> homes_of(node_state const& s, request_state const& r,
+                                  std::string const& pool,
+                                  std::string const& version)
 {
     auto const key = home_key(r.asked);
     if (!key)
         return {};
-    std::string best;
-    std::uint64_t best_rank = 0;
+    std::array<std::pair<std::uint64_t, std::string const*>, most_homes> best{};
     for (auto const& [name, it] : s.config.endpoints) {
         auto const rank = mix(hash_of(name), *key);
         bool const fits =
             serves(s, it.value, pool, version, r.asked.schema_version);
-        if (fits && rank >= best_rank) {
-            best = name;
-            best_rank = rank;
-        }
+        if (!fits || rank < best.back().first)
+            continue;
+        best.back() = {rank, &name};
+        if (best.back().first >= best.front().first)
+            std::swap(best.front(), best.back());
+    }
+    std::vector<std::string> out;
+    for (auto const& [rank, name] : best)
+        if (name != nullptr && (out.empty() || has_many_nodes(s)))
+            out.push_back(*name);
+    return out;
+}
+
+bool contains(std::vector<std::string> const& names, std::string const& name)
+{
+    return std::ranges::find(names, name) != names.end();
+}
+
+// Organisations above their share leave some slots of each endpoint to those
+// within theirs, who then find room at once beside a flood.
+double usable_slots(endpoint const& e, bool in_share)
+{
+    return in_share ? e.slots : (1 - share_reserve) * e.slots;
+}
+
+// Between 0 and 1; bits that the draw for looking and the jitter leave over.
+double part_of_draw(std::uint64_t draw)
+{
+    constexpr double steps = 1 << 20;
+    return static_cast<double>(draw >> 44) / steps;
+}
+
+// What a choice is made by, the same for all endpoints.
+struct choice_inputs
+{
+    std::string pool;
+    std::string version;
+    bool in_share = false;
+    pool_load load;
+    std::vector<std::string> homes;
+    std::uint64_t request = 0; // hash
+    // What may have changed since loads were told, as a part of the slots.
+    double doubt = 0;
+    // Of 1,000 endpoints so many are looked at, beside the homes.
+    std::uint64_t per_thousand = 1'000;
+};
+
+struct choice
+{
+    std::string endpoint; // empty: none has room
+    double cost = std::numeric_limits<double>::max();
+    bool untried = false;
+};
+
+choice best_choice(node_state& s, request_state const& r,
+                   choice_inputs const& in)
+{
+    choice best;
+    for (auto const& [name, rec] : s.config.endpoints) {
+        auto const& e = rec.value;
+        if (!serves(s, e, in.pool, in.version, r.asked.schema_version))
+            continue;
+        auto const draw = mix(hash_of(name), in.request);
+        bool const is_home = contains(in.homes, name);
+        if (!is_home && draw / 1'000 % 1'000 >= in.per_thousand)
+            continue;
+        auto const& known = s.endpoints[name];
+        auto load = estimate_load(s, e, known, in.load);
+        load.expected += in.doubt * e.slots * part_of_draw(draw);
+        bool const has_room = load.seen < usable_slots(e, in.in_share);
+        if (known.paused_until > s.now || !has_room)
+            continue;
+        bool const untried = !contains(r.tried, name);
+        // Ties are broken by request, or all nodes would pick the same one.
+        double const jitter = static_cast<double>(draw % 1'000);
+        double const cost =
+            expected_cost(s, r, e, known, load.expected, is_home) + jitter;
+        bool const better =
+            untried != best.untried ? untried : cost < best.cost;
+        if (best.endpoint.empty() || better)
+            best = {name, cost, untried};
     }
     return best;
 }
@@ -226,8 +326,8 @@
     if (e.kind != endpoint_kind::model_runner)
         return;
     auto& known = s.endpoints[e.name];
-    auto const home = home_of(s, r, e.pool, r.version);
-    r.prefill_tokens = uncached_tokens(r, known, e.name == home);
+    auto const homes = homes_of(s, r, e.pool, r.version);
+    r.prefill_tokens = uncached_tokens(r, known, contains(homes, e.name));
     r.prefill_ahead = known.tokens + told_load(s, e.name).tokens;
     known.tokens += r.prefill_tokens;
     count_work(s, r);
@@ -281,51 +381,38 @@
     r.prefill_tokens = 0;
 }
 
-// Organisations above their share leave some slots of each endpoint to those
-// within theirs, who then find room at once beside a flood.
-double usable_slots(endpoint const& e, bool in_share)
-{
-    return in_share ? e.slots : (1 - share_reserve) * e.slots;
-}
-
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version, bool in_share)
 {
-    auto const wanted = pool_of(s, r);
-    auto const pool = load_of_pool(s, wanted);
-    auto const home = home_of(s, r, wanted, version);
-    auto const request_hash = hash_of(r.asked.id);
-    std::string best;
-    bool best_untried = false;
-    double best_cost = std::numeric_limits<double>::max();
-    for (auto const& [name, rec] : s.config.endpoints) {
-        auto const& e = rec.value;
-        if (!serves(s, e, wanted, version, r.asked.schema_version))
-            continue;
-        auto const& known = s.endpoints[name];
-        auto const load = estimate_load(s, e, known, pool);
-        bool const has_room = load.seen < usable_slots(e, in_share);
-        if (known.paused_until > s.now || !has_room)
-            continue;
-        bool const untried = std::ranges::find(r.tried, name) == r.tried.end();
-        // Ties are broken by request, or all nodes would pick the same one.
-        double const jitter =
-            static_cast<double>(mix(hash_of(name), request_hash) % 1000);
-        double const cost =
-            expected_cost(s, r, e, known, load.expected, name == home) + jitter;
-        if (untried < best_untried)
-            continue;
-        if (untried > best_untried || cost < best_cost) {
-            best = name;
-            best_cost = cost;
-            best_untried = untried;
-        }
+    choice_inputs in;
+    in.pool = pool_of(s, r);
+    in.version = version;
+    in.in_share = in_share;
+    in.load = load_of_pool(s, in.pool);
+    in.homes = homes_of(s, r, in.pool, version);
+    in.request =
+        mix(hash_of(r.asked.id), static_cast<std::uint64_t>(r.attempts));
+    choice best;
+    if (has_many_nodes(s)) {
+        in.doubt = load_doubt;
+        auto const count =
+            std::ranges::count_if(s.config.endpoints, [&](auto const& it) {
+                return it.second.value.pool == in.pool;
+            });
+        in.per_thousand =
+            1'000 * looked_at /
+            std::max<std::size_t>(looked_at, static_cast<std::size_t>(count));
+        best = best_choice(s, r, in);
+        in.per_thousand = 1'000;
     }
-    if (!best.empty())
+    if (best.endpoint.empty())
+        best = best_choice(s, r, in);
+    if (!best.endpoint.empty())
         remember(s, r.asked.id, "route.least_first_token",
-                 best + " at " + std::to_string(std::llround(best_cost)) +
-                     " us, version " + version);
-    return best;
+                 best.endpoint + " at " +
+                     std::to_string(std::llround(best.cost)) + " us, version " +
+                     version);
+    return best.endpoint;
 }
 
 void note_prefixes(node_state& s, request_state const& r)
--- a/src/core/sums.cpp
+++ b/src/core/sums.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+constexpr double told_step = 0.3;   // of the mean, by each heartbeat
+constexpr double told_least = 0.01; // calls: as good as none
+
 // How a peer stands to this node.
 enum class standing
 {
@@ -191,12 +194,37 @@
     return static_cast<std::uint32_t>(hash_of(endpoint));
 }
 
+// Moves the means on by one heartbeat.
+void sample_told(node_state& s)
+{
+    for (auto& [key, mean] : s.told_mean)
+        mean *= 1 - told_step;
+    for (auto const& [key, it] : s.told)
+        s.told_mean[key] += told_step * it.calls;
+    std::erase_if(s.told_mean,
+                  [](auto const& it) { return it.second < told_least; });
+}
+
+double told_calls(node_state const& s, std::string const& endpoint)
+{
+    auto const it = s.told_mean.find(endpoint_key(endpoint));
+    return it == s.told_mean.end() ? 0 : it->second;
+}
+
 endpoint_load told_load(node_state const& s, std::string const& endpoint)
 {
     auto const it = s.told.find(endpoint_key(endpoint));
     return it == s.told.end() ? endpoint_load{} : it->second;
 }
 
+bool hears_of_most(node_state const& s)
+{
+    std::size_t heard = 1;
+    for (auto const& [link, p] : s.peers)
+        heard += nodes_in(s, p);
+    return 4 * heard >= 3 * static_cast<std::size_t>(live_members(s));
+}
+
 std::size_t nodes_in(node_state const& s, peer_state const& p)
 {
     return standing_of(s, p) == standing::apart ? 0 : p.last.nodes;
@@ -207,6 +235,7 @@
     if (s.now < s.heartbeat_at + s.settings.heartbeat_period)
         return;
     s.heartbeat_at = s.now;
+    sample_told(s);
     auto up = sum_up(s);
     // Nobody hears totals that a node adds up while it is alone.
     bool const heard = std::ranges::any_of(s.peers, [&](auto const& it) {
