Give up answers whose bytes never end, in a head, a body or an event

Cause: the client took bodies of any length, answers before the answer without a bound, and the gateway held an event or a body until its deadline: a server in trouble could fill a node's memory. Change: 16 MiB of a body (streams are passed on and bounded by 1 MiB an event), 16 interim answers; heads and chunk sizes are bounded by the parser. One test, five places, each then served by the next connection.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1326,7 +1326,7 @@
     time_point config_asked_at{};            // of a peer
     std::map<std::string, dial_state> dials; // by node
     std::unordered_map<std::uint32_t, endpoint_load>
-        told;                 // by all peers together, by endpoint_key()
+        told; // by all peers together, by endpoint_key()
     // Moving mean of it, for many nodes: what is told there is older than most
     // calls last.
     std::unordered_map<std::uint32_t, double> told_mean;
--- a/src/codec/event_stream.hpp
+++ b/src/codec/event_stream.hpp
@@ -7,6 +7,9 @@
 
 namespace papayahook::codec {
 
+// A server that sends more without ending an event sends no events.
+inline constexpr std::size_t max_event_bytes = 1024UL * 1024;
+
 // Cuts a stream's bytes into whole events.
 struct event_splitter
 {
--- a/src/runtime/endpoints.cpp
+++ b/src/runtime/endpoints.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace papayahook::runtime {
@@ -180,6 +181,8 @@
                       : r.asked.body;
     call.connect_timeout = n.set.connect_timeout;
     call.fresh_connection = it.fresh_connection;
+    // Passed on as it comes, at the caller's pace.
+    call.max_body_bytes = std::numeric_limits<std::size_t>::max();
     auto const id = it.call;
     call.on_head = [&n, id](int status, header_list const& headers) {
         on_head(n, id, status, headers);
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -1,11 +1,20 @@
 // Calls to endpoints and what comes back from them.
 #include "runtime/gateway.hpp"
 
+#include <limits>
+
 namespace papayahook::runtime {
 
 namespace {
 
 constexpr std::string_view event_stream = "text/event-stream";
+// Answers that are no streams are held until they are whole.
+constexpr std::size_t max_answer_bytes = 16UL * 1024 * 1024;
+
+std::size_t max_held_bytes(gateway_call const& it)
+{
+    return it.streams ? codec::max_event_bytes : max_answer_bytes;
+}
 
 } // namespace
 
@@ -27,6 +36,8 @@
     call.echo = {dialect_.request_id, c.request_id};
     call.connect_timeout = n.set.connect_timeout;
     call.fresh_connection = it.fresh_connection;
+    // Streams may be of any length; what is held of them is not.
+    call.max_body_bytes = std::numeric_limits<std::size_t>::max();
     auto const id = it.call;
     call.on_head = [this, id](int status, header_list const& headers) {
         on_call_head(id, status, headers);
@@ -82,6 +93,14 @@
     auto found = calls_.find(call);
     if (found == calls_.end())
         return;
+    auto const& held =
+        found->second.streams ? found->second.events.held : found->second.body;
+    if (held.size() + data.size() > max_held_bytes(found->second)) {
+        n.client.cancel(calls_.extract(found).mapped().transfer);
+        handle(n, core::call_failed{call, core::step::receive, true,
+                                    "bytes without end that are no answer"});
+        return;
+    }
     if (!found->second.streams) {
         found->second.body += data;
         return;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::size_t receive_buffer_bytes = 8 * 1024;
 constexpr std::size_t max_idle_per_peer = 8;
+constexpr int max_interim = 16; // a server that sends more never answers
 // Idle connections are closed before the servers do it, most of which keep
 // theirs for at least a few seconds; a Keep-Alive header may say less.
 constexpr auto idle_limit = 4s;
@@ -39,6 +40,7 @@
     unasked_bytes,
     other_call,
     bad_url,
+    too_long,
 };
 
 class fault_category_type final : public std::error_category
@@ -60,6 +62,8 @@
             return "the answer belongs to another request";
         case fault::bad_url:
             return "http://ip:port/path is expected";
+        case fault::too_long:
+            return "the answer is longer than any that is expected";
         }
         return "unknown";
     }
@@ -182,6 +186,8 @@
     bool writing = false;
     bool complete = false; // the answer has ended
     bool head_seen = false;
+    std::size_t body_bytes = 0; // of the answer
+    int interim = 0;            // answers before the final one
     clock::time_point usable_until{};
 };
 
@@ -332,6 +338,9 @@
     auto& c = of(p);
     if (!c.call)
         return -1; // cancelled by its own callback
+    c.body_bytes += n;
+    if (c.body_bytes > c.call->call.max_body_bytes)
+        return -1;
     if (c.call->call.on_data)
         c.call->call.on_data({at, n});
     return c.call ? 0 : -1;
@@ -344,7 +353,7 @@
     if (static_cast<int>(p->status_code) < final_status) {
         c.headers.clear();
         c.value_last = false;
-        return 0;
+        return ++c.interim > max_interim ? -1 : 0;
     }
     c.complete = true;
     http_parser_pause(p, 1);
@@ -395,7 +404,13 @@
         return;
     }
     if (error != HPE_OK) {
-        fail(c, make_error(is_other ? fault::other_call : fault::not_an_answer),
+        bool const is_long =
+            c->interim > max_interim ||
+            (c->call && c->body_bytes > c->call->call.max_body_bytes);
+        fail(c,
+             make_error(is_other  ? fault::other_call
+                        : is_long ? fault::too_long
+                                  : fault::not_an_answer),
              "receive");
         return;
     }
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -30,6 +30,8 @@
     std::chrono::milliseconds connect_timeout{1'000};
     std::chrono::milliseconds total_timeout{0}; // zero: none
     bool fresh_connection = false;              // do not reuse an idle one
+    // Of the answer. A head is bounded by the parser.
+    std::size_t max_body_bytes = 16UL * 1024 * 1024;
     std::function<void(int status, header_list const&)> on_head;
     std::function<void(std::string_view)> on_data;
     std::function<void(http_result const&)> on_done; // exactly once
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -284,3 +284,46 @@
     p.sockets[0]->read_some(asio::buffer(&byte, 1), ec);
     CHECK(ec == asio::error::eof);
 }
+
+TEST_CASE("bytes that never end are given up, wherever they come")
+{
+    asio::io_context io;
+    http_client client(io);
+    std::string const head = "HTTP/1.1 200 OK\r\n";
+    std::string const field = "X-Filler: 0123456789012345678901234567890\r\n";
+    std::string script;
+    SECTION("in a head")
+    {
+        script = head;
+        for (int i = 0; i < 100'000; ++i)
+            script += field;
+    }
+    SECTION("in a line of a head")
+    {
+        script = head + "X-Filler: " + std::string(4'000'000, 'x');
+    }
+    SECTION("in answers before the answer")
+    {
+        for (int i = 0; i < 100'000; ++i)
+            script += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    SECTION("in a body without a length")
+    {
+        script = head + "\r\n" + std::string(20'000'000, 'x');
+    }
+    SECTION("in the size of a chunk")
+    {
+        script = head + "Transfer-Encoding: chunked\r\n\r\n1;" +
+                 std::string(4'000'000, 'x');
+    }
+    peer p(io, {script, whole});
+    auto const it = call(io, client, p.url());
+    CHECK(it.done);
+    CHECK(it.result.error);
+    CHECK(it.result.step == "receive");
+    CHECK(it.result.may_have_run);
+    // The client goes on, on another connection.
+    p.scripts = {whole};
+    CHECK(call(io, client, p.url()).body == "ok");
+    CHECK(p.connections == 2);
+}
