--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -390,8 +390,7 @@
     in.in_share = in_share;
     in.load = load_of_pool(s, in.pool);
     in.homes = homes_of(s, r, in.pool, version);
-    in.request =
-        mix(hash_of(r.asked.id), static_cast<std::uint64_t>(r.attempts));
+    in.request = hash_of(r.asked.id);
     choice best;
     if (has_many_nodes(s)) {
         in.doubt = load_doubt;
