End the adapter before the loop that it uses

Callers saw nothing: it happened after the last answer. A node on the platform that was told to stop ended by an abort ("corrupted size vs. prev_size") or was left with a damaged heap.

Cause: the adapter was declared before the loop, so it ended after it, and its timers and listeners cancelled themselves at services that were freed. Ruled out: the answers' connections (none open in that run). Change: the loop is declared first, the client next, then the adapter. Class: something that uses a loop ends after it; the other members of the node stand behind the loop already.

--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -215,9 +215,8 @@
 } // namespace
 
 node::node(settings it, std::unique_ptr<runtime::adapter> adapter)
-    : set(std::move(it)), outside(std::move(adapter)),
-      wall_at_start(std::chrono::system_clock::now()),
-      boot_at_start(time_since_boot()), client(io),
+    : set(std::move(it)), wall_at_start(std::chrono::system_clock::now()),
+      boot_at_start(time_since_boot()), client(io), outside(std::move(adapter)),
       signals(io, SIGTERM, SIGINT, SIGHUP), ticker(io)
 {
     set.core.peer_address = set.peer.text();
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -63,12 +63,12 @@
     node(settings it, std::unique_ptr<runtime::adapter> outside);
 
     settings set;
-    std::unique_ptr<runtime::adapter> outside; // empty: own interfaces
-    asio::io_context io;
+    asio::io_context io; // outlives all that uses it
     core::node_state state;
     std::chrono::system_clock::time_point wall_at_start;
     std::chrono::nanoseconds boot_at_start; // counts time asleep too
     http_client client;
+    std::unique_ptr<runtime::adapter> outside; // empty: own interfaces
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> admin;
     std::unique_ptr<peer_links> links;
