Link the logging library to papayahookd alone; a node on a platform ends in time

Callers saw fewer nodes: a node that was told to stop ended its work after 3 to 6 s and then hung until the platform killed it at the end of its time (8 s), so that each planned stop took it away for up to 5 s longer.

Cause: log4cplus starts four threads when it is loaded, used or not, and joins them at the exit; a node on a platform writes its own lines and never uses them. Change: lines go to standard output by the bounded buffer unless a writer is set; papayahookd sets one by log4cplus, from a library of its own. A node with no links has one thread. Test: 'a stopping node waits for no thread of a library', 5 threads before. Class: work at the exit that nobody waits for; the other thread, Asio's for names, ends with the loop (measured: nodes with links end in time).

--- a/src/runtime/logging.cpp
+++ b/src/runtime/logging.cpp
@@ -1,16 +1,8 @@
 #include "runtime/logging.hpp"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
 #include <map>
-#include <memory>
 #include <poll.h>
 #include <unistd.h>
 
@@ -18,10 +10,6 @@
 
 namespace {
 
-constexpr char const* pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
-// Ordinary with many requests; shown at level "debug" only.
-constexpr std::array frequent{401, 402, 403, 407, 408, 409, 604};
-
 // Lines for standard output wait here and never hold up the loop. What does
 // not fit, or comes too often, is counted and left out.
 constexpr std::size_t most_waiting_bytes = 256 * 1024;
@@ -30,7 +18,6 @@
 
 struct line_buffer
 {
-    bool in_use = false;
     std::string waiting;
     std::map<int, int> lines;             // of this second, by event number
     std::map<int, std::uint64_t> dropped; // not yet told, by event number
@@ -39,13 +26,7 @@
 
 line_buffer output;
 
-std::unique_ptr<log4cplus::Initializer> initializer;
-
-log4cplus::Logger& logger()
-{
-    static auto it = log4cplus::Logger::getInstance("papayahook");
-    return it;
-}
+log_writer other_writer; // in place of standard output
 
 std::string quoted(std::string const& text)
 {
@@ -92,8 +73,6 @@
 
 void flush_log()
 {
-    if (!output.in_use)
-        return;
     if (output.waiting.size() < most_waiting_bytes / 2)
         tell_dropped();
     std::size_t done = 0;
@@ -109,34 +88,9 @@
     output.waiting.erase(0, done);
 }
 
-void start_logging(settings const& it)
+void log_to(log_writer it)
 {
-    output.in_use = it.log_file == "-";
-    if (output.in_use)
-        return;
-    initializer = std::make_unique<log4cplus::Initializer>();
-    log4cplus::SharedAppenderPtr appender;
-    if (it.log_file.empty())
-        appender = new log4cplus::ConsoleAppender(true, true);
-    else
-        appender =
-            new log4cplus::FileAppender(it.log_file, std::ios_base::app, true);
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
-    logger().addAppender(appender);
-    auto const level = it.log_level == "error"   ? log4cplus::ERROR_LOG_LEVEL
-                       : it.log_level == "warn"  ? log4cplus::WARN_LOG_LEVEL
-                       : it.log_level == "debug" ? log4cplus::DEBUG_LOG_LEVEL
-                                                 : log4cplus::INFO_LOG_LEVEL;
-    logger().setLogLevel(level);
-}
-
-void stop_logging()
-{
-    flush_log();
-    if (output.in_use)
-        return;
-    logger().removeAllAppenders();
-    initializer.reset();
+    other_writer = std::move(it);
 }
 
 void write_log(core::log_event const& it)
@@ -147,16 +101,10 @@
         line += " peer=" + quoted(it.peer);
     if (!it.detail.empty())
         line += " detail=" + quoted(it.detail);
-    if (output.in_use) {
-        if (fits(it.number, line.size()))
-            add_line(line);
-        return;
-    }
-    bool const often = std::ranges::find(frequent, it.number) != frequent.end();
-    if (often)
-        LOG4CPLUS_DEBUG(logger(), line);
-    else
-        LOG4CPLUS_INFO(logger(), line);
+    if (other_writer)
+        other_writer(it.number, line);
+    else if (fits(it.number, line.size()))
+        add_line(line);
 }
 
 } // namespace papayahook::runtime
--- a/src/runtime/logging.hpp
+++ b/src/runtime/logging.hpp
@@ -1,7 +1,10 @@
-// Numbered log events with key=value fields, by log4cplus.
+// Numbered log events with key=value fields. Lines go to standard output, by
+// a bounded buffer that never blocks, unless another writer takes them.
 #pragma once
 
-#include "runtime/settings.hpp"
+#include "papayahook/papayahook.hpp"
+
+#include <functional>
 
 namespace papayahook::runtime {
 
@@ -21,8 +24,9 @@
 inline constexpr int log_answer_unreadable = 311;
 } // namespace events
 
-void start_logging(settings const& it);
-void stop_logging();
+using log_writer = std::function<void(int number, std::string const& line)>;
+// Empty: standard output.
+void log_to(log_writer it);
 // Hands over what waits for standard output, as far as that takes it now.
 void flush_log();
 
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -2,7 +2,6 @@
 #include "runtime/node.hpp"
 
 #include "codec/json.hpp"
-#include "papayahook/run.hpp"
 #include "runtime/logging.hpp"
 
 #include <algorithm>
@@ -308,7 +307,6 @@
 
 int run_node(settings it, std::unique_ptr<adapter> outside)
 {
-    start_logging(it);
     int result = 0;
     try {
         node n(std::move(it), std::move(outside));
@@ -334,17 +332,8 @@
         std::cerr << "listen: " << e.what() << '\n';
         result = 2;
     }
-    stop_logging();
+    flush_log();
     return result;
 }
 
 } // namespace papayahook::runtime
-
-namespace papayahook {
-
-int run_node(std::string const& settings_file)
-{
-    return runtime::run_node(runtime::read_settings(settings_file), nullptr);
-}
-
-} // namespace papayahook
--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -13,8 +13,7 @@
     using key_type = loop_end;
     static inline asio::execution_context::id id;
 
-    loop_end(asio::execution_context& it, bool& seen)
-        : service(it), ended(seen)
+    loop_end(asio::execution_context& it, bool& seen) : service(it), ended(seen)
     {
     }
     void shutdown() override { ended = true; }
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -176,6 +177,19 @@
     CHECK(p.nodes[0].run->wait(9s) == 0);
 }
 
+TEST_CASE("a stopping node waits for no thread of a library")
+{
+    platform_fake fake;
+    auto const n = make_node("alone", fake, free_port());
+    REQUIRE(eventually(5s, [&] {
+        return text_of(n.log).find("event=101") != std::string::npos;
+    }));
+    // With links there is a second one, Asio's for names.
+    std::filesystem::directory_iterator const first(
+        "/proc/" + std::to_string(n.run->id()) + "/task");
+    CHECK(std::distance(first, {}) == 1);
+}
+
 TEST_CASE("a node that was killed comes back with what the store holds")
 {
     small_platform p;
