A reader that has stopped says nothing of the store's age

Cause: the store turned three nodes silently away, both readers first. A node that had read for 50 ms and was told to stop had one read of endpoints in hand; its answer 1.2 s later made the store's word new for all nodes, though nobody had read configurations since. The next reader waited 1.2 s from there. Evidence: 'word 1201 ms old' 2.11 s after the last read of both topics; no message on configurations in between. Test: 'a reader that has stopped says nothing of the store's age', failed before.

--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -1,4 +1,5 @@
 // papayahook-node as separate processes before a stand-in of the platform.
+#include "platform/store.hpp"
 #include "platform/wire.hpp"
 #include "support/client.hpp"
 #include "support/fleet.hpp"
@@ -190,6 +191,31 @@
     CHECK(std::distance(first, {}) == 1);
 }
 
+TEST_CASE("a reader that has stopped says nothing of the store's age")
+{
+    constexpr platform::topic_pace pace{500ms, 10ms};
+    platform_fake fake;
+    asio::io_context io;
+    runtime::http_client client(io);
+    int answers = 0;
+    platform::topic_handlers handlers;
+    handlers.on_records = [](auto const&) {
+    };
+    handlers.on_state = [&](bool reachable, auto const&) {
+        answers += reachable ? 1 : 0;
+    };
+    platform::topic_reader reader(io, client, fake.store_address,
+                                  wire::endpoint_topic, pace, handlers);
+    reader.follow(true);
+    io.run_for(200ms);
+    REQUIRE(answers > 0);
+    reader.follow(false); // a read is in hand
+    answers = 0;
+    io.restart();
+    io.run_for(1s);
+    CHECK(answers == 0);
+}
+
 TEST_CASE("a node that was killed comes back with what the store holds")
 {
     small_platform p;
