Send messages that are too long to be inflated as they are

Seen in the last reading of the change, not by callers: a hand-over of more than 16 MB that deflates well would have been sent and refused by its receiver, which closes the link. It is not deflated now, so that the bound on what a peer reads holds as before and the request stays at its node. Test: 'a message that is too long to be inflated goes as it is', failed before.

--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -519,7 +519,8 @@
 {
     std::string out;
     json::to_cbor(json(it), out);
-    return out.size() < deflated_from ? out : deflate(out);
+    bool const fits = out.size() >= deflated_from && out.size() <= max_inflated;
+    return fits ? deflate(out) : out;
 }
 
 core::peer_message message_from_cbor(std::string const& bytes)
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -171,6 +171,16 @@
     CHECK_THROWS_AS(codec::message_from_cbor(bomb), std::invalid_argument);
 }
 
+TEST_CASE("a message that is too long to be inflated goes as it is")
+{
+    constexpr std::size_t long_text = 17'000'000;
+    core::news item;
+    item.vetoes.push_back({"m", 12, std::string(long_text, 'x')});
+    auto const bytes = codec::message_to_cbor(item);
+    auto const back = codec::message_from_cbor(bytes);
+    CHECK(std::get<core::news>(back).vetoes.at(0).reason.size() == long_text);
+}
+
 TEST_CASE("a shared answer keeps bytes that are not text")
 {
     core::append it;
