Bound the waiting time of a heartbeat by what the peer had read before

Cause: takes the fastest message of a link for one that did not wait. On a link that is opened to a busy node no message is fast, so that the age was still understated by the waiting time of its first ones; after the loss of many nodes most links are such.

Change: the peer wrote a heartbeat after it had read this node's hello, or the heartbeat that it echoes (one each two seconds on a link). That bounds the difference of the clocks from below, so that the waiting time is never understated; on a link that was opened in milliseconds it is overstated by these.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -399,6 +399,9 @@
     std::size_t listed_nodes = 0;          // nodes listed by the registry
     std::chrono::milliseconds store_age{}; // age of the sender's registry state
     time_point sent_at{}; // by the sender's clock; time_point{}: not stated
+    // Newest `sent_at` of the receiver that the sender has read; time_point{}:
+    // not stated.
+    time_point echoed_at{};
     std::map<std::string, double> demand;  // units per second, by organisation
     std::map<std::string, double> spent;   // units, by organisation
     std::map<std::string, pool_work> work; // by pool
@@ -1232,10 +1235,10 @@
     // the peer as down.
     bool closing = false;
     heartbeat last_heartbeat;
-    // Smallest difference between the arrival of a heartbeat, by this node's
-    // clock, and its `sent_at`: the difference of the clocks and the time of a
-    // message that did not wait on its way.
-    std::optional<duration> min_transit;
+    time_point opened_at{}; // when this node sent its hello
+    time_point echo_sent_at{};
+    // Lower bound of the difference of this node's clock to the peer's.
+    std::optional<duration> clock_difference;
     // Units per second, by organisation.
     std::map<std::string, double> spend_rates;
     time_point spend_rates_at{}; // arrival of the newest report of spending
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -145,9 +145,13 @@
 {
     if (e.sent_at == time_point{})
         return {};
-    auto const transit = s.now - e.sent_at;
-    p.min_transit = std::min(p.min_transit.value_or(transit), transit);
-    return transit - *p.min_transit;
+    // The peer wrote it after it had read what it echoes, or this node's hello.
+    auto const earliest =
+        e.echoed_at == time_point{} ? p.opened_at : e.echoed_at;
+    auto const difference = earliest - e.sent_at;
+    p.clock_difference =
+        std::max(p.clock_difference.value_or(difference), difference);
+    return s.now - e.sent_at - *p.clock_difference;
 }
 
 void on_heartbeat(node_state& s, peer_state& p, heartbeat const& e,
@@ -275,6 +279,7 @@
     auto& p = s.peers[e.link];
     p.link = e.link;
     p.heard_at = s.now;
+    p.opened_at = s.now;
     auto const& own = s.settings;
     send_to_peer(s, e.link,
                  hello{protocol_version, own.name, own.incarnation, own.zone,
--- a/test/store_readers_test.cpp
+++ b/test/store_readers_test.cpp
@@ -107,6 +107,7 @@
         w.f.delays[node] = it;
         run(w, 2 * step);
     }
+    run(w, delay); // the last messages with a shorter delay arrive
 }
 
 } // namespace
