End a resumed stream at its route's deadline where that covers the answer

Cause: a stream that goes on at another endpoint got a whole deadline again, also on routes whose deadline is for the last byte, as all are on the platform. After the loss of many runners streams waited up to twice their time-out.

Test: fails before (no end at 5 s for a deadline of 5 s, resumed at 4 s).

--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -193,12 +193,15 @@
     r.early_chunks.clear();
 }
 
-// The deadline applies to the head. A caller that already reads the stream
-// waits for a full deadline again when the stream continues elsewhere.
+// Unless it covers the whole answer, the deadline applies to the head. A caller
+// that already reads the stream waits for a full deadline again when the stream
+// continues elsewhere.
 void extend_deadline(node_state const& s, request_state& r)
 {
     auto const it = s.config.routes.find(r.request.route);
-    if (r.head_sent && it != s.config.routes.end())
+    bool const extends = r.head_sent && it != s.config.routes.end() &&
+                         !it->second.value.deadline_covers_body;
+    if (extends)
         r.deadline = std::max(r.deadline, s.now + it->second.value.deadline);
 }
 
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -298,3 +298,22 @@
     CHECK(w.nodes[0].requests.at(orders.back()).phase ==
           core::request_phase::done);
 }
+
+TEST_CASE("a resumed stream ends at its route's deadline if that covers the "
+          "whole answer")
+{
+    auto w = make_world(1);
+    auto chat = w.nodes[0].config.routes.at("chat").value;
+    chat.deadline = 5s;
+    chat.deadline_covers_body = true;
+    w.nodes[0].config.routes.at("chat").value = chat;
+    auto const id = ask_chat(w, 0);
+    auto const first = w.dispatches.at(0).what.call;
+    give(w, 0, core::answer_head{first, 200, "text/event-stream"});
+    give(w, 0, core::answer_chunk{first, 0, token(id, 0)});
+    pass_time(w, 4s);
+    give(w, 0, core::call_failed{first, core::step::receive, true, "cut"});
+    REQUIRE(w.nodes[0].requests.at(id).call != 0); // resumed elsewhere
+    pass_time(w, 1s);
+    CHECK(w.ends.contains(id));
+}
