--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -282,6 +282,13 @@
     CHECK_FALSE(decode_head(1, 500, {}).not_run);
 }
 
+TEST_CASE("a runner says in its answers that it leaves")
+{
+    CHECK(decode_head(1, 200, {{"Server-Leaving", "1"}}).leaving);
+    CHECK_FALSE(decode_head(1, 200, {{"Server-Leaving", "0"}}).leaving);
+    CHECK_FALSE(decode_head(1, 200, {{"Connection", "close"}}).leaving);
+}
+
 TEST_CASE("503 and 429 are sent only for requests that have not run")
 {
     auto const status = [](int status, core::outcome what) {
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -299,6 +299,24 @@
           core::request_phase::done);
 }
 
+TEST_CASE("an endpoint whose answer says that it leaves gets no more requests")
+{
+    auto w = make_world(1);
+    ask_chat(w, 0);
+    auto const first = w.dispatches.at(0).what;
+    core::answer_head head;
+    head.call = first.call;
+    head.leaving = true;
+    head.content_type = "text/event-stream";
+    give(w, 0, head);
+    for (int i = 0; i < 20; ++i)
+        ask_chat(w, 0);
+    CHECK(std::ranges::none_of(
+        w.dispatches.begin() + 1, w.dispatches.end(),
+        [&](auto const& it) { return it.what.endpoint == first.endpoint; }));
+    CHECK(w.nodes[0].calls.contains(first.call)); // it ends as usual
+}
+
 TEST_CASE("a resumed stream ends at its route's deadline if that covers the "
           "whole answer")
 {
