Send nothing to an endpoint that asks for a pause until its end

Change: the pause is kept at this node alone, and no failure of another call shortens it. Requests that wait for endpoints which all pause beyond their deadline are refused at once, "not run", with the time at which the first one ends.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -691,6 +691,8 @@
     bool leaving = false; // the endpoint states that it is leaving
     // All headers that are passed on except the content type.
     std::vector<std::pair<std::string, std::string>> headers;
+    // How long the endpoint wants no requests of this node; zero: not stated.
+    std::chrono::milliseconds pause{0};
 };
 
 // One token with its index from a model runner, or one piece of another body.
@@ -1110,6 +1112,7 @@
     int in_flight_at_report = 0; // in_flight when that report arrived
     time_point reported_at{};
     int failures = 0; // consecutive
+    // No calls before: it failed, or it asked for a pause.
     time_point paused_until{};
     std::string leaving_incarnation; // incarnation that gets no new work
     // Leaving, with an unknown incarnation.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -285,6 +285,60 @@
     }
 }
 
+namespace {
+
+// Returns when the first endpoint of a pool may get calls again; nullopt if one
+// may get them now, or if there is none.
+std::optional<time_point> end_of_pauses(node_state const& s,
+                                        std::string const& pool)
+{
+    std::optional<time_point> out;
+    for (auto const& [name, it] : s.config.endpoints) {
+        if (it.value.pool != pool || is_leaving(s, it.value))
+            continue;
+        auto const known = s.endpoints.find(name);
+        auto const end = known == s.endpoints.end()
+                             ? time_point{}
+                             : known->second.paused_until;
+        if (end <= s.now)
+            return std::nullopt;
+        out = std::min(out.value_or(end), end);
+    }
+    return out;
+}
+
+} // namespace
+
+// Refuses requests that wait for endpoints which all pause beyond the request's
+// deadline, so that their callers need not wait for it.
+void refuse_paused_requests(node_state& s, effects& out)
+{
+    std::vector<std::pair<request_id, time_point>> lost;
+    for (auto const& [pool, queues] : s.queues) {
+        bool const is_empty = std::ranges::all_of(
+            queues, [](auto const& it) { return it.second.empty(); });
+        auto const end = is_empty ? std::nullopt : end_of_pauses(s, pool);
+        if (!end)
+            continue;
+        for (auto const& [name, queue] : queues)
+            for (auto const& it : queue)
+                lost.emplace_back(std::get<request_id>(it), *end);
+    }
+    for (auto const& [id, end] : lost) {
+        auto* const r = find_request(s, id);
+        bool const is_lost = r != nullptr && r->deadline <= end &&
+                             r->phase == request_phase::queued;
+        if (!is_lost)
+            continue;
+        refuse_request(
+            s, *r,
+            {503, outcome::not_run, step::queue, "",
+             "all endpoints pause beyond the deadline",
+             std::chrono::ceil<std::chrono::milliseconds>(end - s.now)},
+            out);
+    }
+}
+
 void expire_requests(node_state& s, effects& out)
 {
     auto const expired = requests_where(s, [&](auto const& r) {
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -129,6 +129,7 @@
     expire_requests(s, out);
     adjust_limits(s);
     shed_queued_requests(s, out);
+    refuse_paused_requests(s, out);
     check_progress_timeouts(s, out);
     retry_appends(s, out);
     flush_claims(s, out);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -149,7 +149,8 @@
     emit_log_event(out, events::call_failed, r.request.id, endpoint,
                    std::string(to_string(where)) + ": " + detail);
     if (++e.failures >= failures_before_pause || where == step::connect) {
-        e.paused_until = s.now + s.settings.endpoint_pause;
+        e.paused_until = std::max(e.paused_until,
+                                  s.now + duration(s.settings.endpoint_pause));
         emit_log_event(out, events::endpoint_paused, endpoint, "", detail);
     }
     r.may_have_run = r.may_have_run || may_have_run;
@@ -177,6 +178,17 @@
         out);
 }
 
+// The pause holds for this node alone: the endpoint may have room for others.
+void pause_endpoint(node_state& s, request_state const& r,
+                    std::chrono::milliseconds pause, effects& out)
+{
+    auto& until = s.endpoints[r.endpoint].paused_until;
+    until = std::max(until, s.now + duration(pause));
+    emit_log_event(out, events::endpoint_paused, r.endpoint, "",
+                   "asked for a pause of " + milliseconds_text(pause) +
+                       " in its answer to " + r.request.id);
+}
+
 } // namespace
 
 bool holds_whole_answer(request_state const& r)
@@ -284,6 +296,8 @@
             s,
             {r->endpoint, s.config.endpoints.at(r->endpoint).value.incarnation},
             out);
+    if (e.pause > 0ms)
+        pause_endpoint(s, *r, e.pause, out);
     // A failure status of the endpoint is passed on as the answer if no other
     // call is allowed.
     bool const retryable_failure = e.status >= 500 && r->repeatable &&
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -282,11 +282,21 @@
     CHECK_FALSE(decode_head(1, 500, {}).not_run);
 }
 
-TEST_CASE("a runner says in its answers that it leaves")
+TEST_CASE("a runner says in its answers that it leaves or wants a pause")
 {
     CHECK(decode_head(1, 200, {{"Server-Leaving", "1"}}).leaving);
     CHECK_FALSE(decode_head(1, 200, {{"Server-Leaving", "0"}}).leaving);
     CHECK_FALSE(decode_head(1, 200, {{"Connection", "close"}}).leaving);
+    auto const pause = [](int status, char const* text) {
+        return decode_head(1, status, {{"Retry-After", text}}).pause;
+    };
+    CHECK(pause(503, "2") == 2s);
+    CHECK(pause(503, "0.25") == 250ms);
+    CHECK(pause(503, "soon") == 0ms);
+    CHECK(pause(503, "-1") == 0ms);
+    CHECK(pause(503, "1e300") == max_endpoint_pause);
+    CHECK(pause(429, "2") == 0ms);
+    CHECK(decode_head(1, 503, {}).pause == 0ms);
 }
 
 TEST_CASE("503 and 429 are sent only for requests that have not run")
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -317,6 +317,67 @@
     CHECK(w.nodes[0].calls.contains(first.call)); // it ends as usual
 }
 
+TEST_CASE("an endpoint that asks for a pause gets no requests until its end")
+{
+    constexpr auto pause = 3s;
+    auto w = make_world(1);
+    auto const id = ask_chat(w, 0);
+    auto const first = w.dispatches.at(0).what;
+    w.dispatches.clear();
+    core::answer_head head;
+    head.call = first.call;
+    head.status = 503;
+    head.not_run = true;
+    head.pause = pause;
+    give(w, 0, head);
+    // The request goes to another endpoint.
+    REQUIRE(w.dispatches.size() == 1);
+    CHECK(w.dispatches[0].what.id == id);
+    auto const calls_there = [&] {
+        return std::ranges::count_if(w.dispatches, [&](auto const& it) {
+            return it.what.endpoint == first.endpoint;
+        });
+    };
+    // Failures of other calls there do not shorten the pause.
+    for (auto t = 0ms; t < pause - 100ms; t += 100ms) {
+        ask_chat(w, 0);
+        pass_time(w, 100ms);
+    }
+    CHECK(calls_there() == 0);
+    pass_time(w, 200ms);
+    for (int i = 0; i < 20; ++i)
+        ask_chat(w, 0);
+    CHECK(calls_there() > 0);
+}
+
+TEST_CASE("a request is refused at once if all endpoints pause beyond its "
+          "deadline")
+{
+    auto w = make_world(1);
+    for (auto const* name : {"d1", "d2"})
+        w.nodes[0].endpoints[name].paused_until = w.now + 7s;
+    w.nodes[0].endpoints["d2"].paused_until = w.now + 6s;
+    core::request_arrived asked; // "orders" has a deadline of 5 s
+    asked.id = "n1.1.paused";
+    asked.key_digest = "key";
+    asked.route = "orders";
+    give(w, 0, asked);
+    pass_time(w, 50ms);
+    auto const& r = w.nodes[0].requests.at(asked.id);
+    REQUIRE(r.failure);
+    CHECK(r.failure->known_outcome == core::outcome::not_run);
+    CHECK(r.failure->retry_after == 5'950ms);
+    // One that can still be served waits.
+    w.nodes[0].endpoints["d2"].paused_until = w.now + 1s;
+    asked.id = "n1.1.waiting";
+    give(w, 0, asked);
+    pass_time(w, 50ms);
+    CHECK_FALSE(w.nodes[0].requests.at(asked.id).failure);
+    pass_time(w, 1s);
+    CHECK(w.nodes[0].requests.at(asked.id).phase ==
+          core::request_phase::calling);
+}
+
 TEST_CASE("a resumed stream ends at its route's deadline if that covers the "
           "whole answer")
 {
