Choose hubs by capacity where a zone is left with small ones

Cause: a node chose among the hubs of its zone whatever they can carry.

Change: a zone's hubs are chosen while they have half of the capacity that its nodes have on the mean over all zones; else all hubs are. Among them a node chooses in proportion to capacity.

--- a/src/core/links.cpp
+++ b/src/core/links.cpp
@@ -4,11 +4,14 @@
 // fleet some nodes are hubs: all hubs are linked with each other, and each
 // other node is linked with one hub. The hubs are the first live nodes by
 // capacity and hash, so that all nodes select the same ones without
-// coordination. While their views differ, a node that others use as their hub
-// relays their messages even if it does not consider itself a hub.
+// coordination. Nodes choose a hub of their zone while its hubs have the
+// capacity for them. While their views differ, a node that others use as their
+// hub relays their messages even if it does not consider itself a hub.
 #include "core/internal.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace papayahook::core {
 
@@ -21,6 +24,9 @@
 // In a fleet of about 300 nodes, a hub has about as many links to hubs as to
 // other nodes.
 constexpr std::size_t nodes_per_hub = 18;
+// Least capacity of a zone's hubs for its nodes, as a fraction of what the
+// nodes of all zones have on the mean.
+constexpr double min_zone_hub_share = 0.5;
 constexpr auto plan_period = 500ms;
 // Of two hubs, the one with the lower name dials. The other hub dials after
 // this time.
@@ -86,14 +92,45 @@
     }
 }
 
-// Selects a hub by hash, preferring the hubs of this node's zone.
+int capacity_of(ranked_nodes const& nodes)
+{
+    return std::accumulate(
+        nodes.begin(), nodes.end(), 0,
+        [](int sum, auto const* it) { return sum + it->capacity; });
+}
+
+ranked_nodes in_own_zone(node_state const& s, ranked_nodes nodes)
+{
+    std::erase_if(nodes,
+                  [&](auto const* it) { return it->zone != s.settings.zone; });
+    return nodes;
+}
+
+// Returns the hubs of this node's zone, or all hubs if those of the zone have
+// too little capacity: after the loss of its large nodes a zone may be left
+// with one small hub.
+ranked_nodes eligible_hubs(node_state const& s, ranked_nodes const& nodes,
+                           ranked_nodes const& hubs)
+{
+    auto const of_zone = in_own_zone(s, hubs);
+    double const nodes_share =
+        static_cast<double>(in_own_zone(s, nodes).size()) /
+        static_cast<double>(nodes.size());
+    double const needed = min_zone_hub_share * nodes_share * capacity_of(hubs);
+    return of_zone.empty() || capacity_of(of_zone) < needed ? hubs : of_zone;
+}
+
+// Selects a hub by hash, in proportion to the hubs' capacity (weighted
+// rendezvous hashing).
 member_news const* preferred_hub(node_state const& s, ranked_nodes const& hubs)
 {
-    auto const preference = [&](auto const* it) {
-        return std::tuple(it->zone != s.settings.zone,
-                          hash_of(s.settings.name + "/" + it->node));
+    auto const cost = [&](auto const* it) {
+        constexpr double steps = 1ULL << 53;
+        auto const hash = hash_of(s.settings.name + "/" + it->node);
+        double const draw = (static_cast<double>(hash >> 11) + 0.5) / steps;
+        return -std::log(draw) / std::max(1, it->capacity);
     };
-    auto const it = std::ranges::min_element(hubs, {}, preference);
+    auto const it = std::ranges::min_element(hubs, {}, cost);
     return it == hubs.end() ? nullptr : *it;
 }
 
@@ -123,10 +160,11 @@
     });
 }
 
-void link_to_hub(node_state& s, ranked_nodes hubs, effects& out)
+void link_to_hub(node_state& s, ranked_nodes const& nodes, ranked_nodes hubs,
+                 effects& out)
 {
     std::erase_if(hubs, [&](auto const* it) { return is_silent(s, it->node); });
-    auto const* const hub = preferred_hub(s, hubs);
+    auto const* const hub = preferred_hub(s, eligible_hubs(s, nodes, hubs));
     if (hub == nullptr)
         return;
     auto const link = std::ranges::find_if(
@@ -191,7 +229,7 @@
         link_hubs(s, hubs, out);
     }
     else {
-        link_to_hub(s, hubs, out);
+        link_to_hub(s, all, hubs, out);
         close_unneeded_links(s, out);
     }
 }
--- a/test/members_test.cpp
+++ b/test/members_test.cpp
@@ -314,3 +314,24 @@
         CHECK(f.entries_sent < endpoints + 5 * f.nodes.size());
     }
 }
+
+TEST_CASE(
+    "nodes of a zone that lost its large hubs do not crowd on a small one")
+{
+    // All large nodes of "zone-0" are lost; a small one of it becomes a hub.
+    auto f = make_fabric(295, 5, 15);
+    run(f, 5s);
+    for (std::size_t i = 0; i < 15; i += 5)
+        kill(f, i);
+    run(f, 5s);
+    for (std::size_t i = 0; i < f.nodes.size(); ++i) {
+        auto const& n = f.nodes[i];
+        bool const is_small_hub = f.running[i] && i >= 15 && n.hub_link == 0;
+        if (!is_small_hub)
+            continue;
+        // A hub has a link to each other one, and its nodes.
+        auto const below = linked_with(f, i).size() - core::hub_count(292) + 1;
+        CAPTURE(i);
+        CHECK(below <= 292 / core::hub_count(292));
+    }
+}
