--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1247,7 +1247,6 @@
     bool closing = false;
     heartbeat last_heartbeat;
     time_point opened_at{}; // when this node sent its hello
-    time_point echo_sent_at{};
     // Lower bound of the difference of this node's clock to the peer's.
     std::optional<duration> clock_difference;
     bool is_informed = false; // was sent what it did not know
--- a/src/core/aggregation.cpp
+++ b/src/core/aggregation.cpp
@@ -19,7 +19,6 @@
 
 // Weight of each heartbeat's sample in the moving average of remote calls.
 constexpr double remote_calls_smoothing = 0.3;
-constexpr auto echo_period = std::chrono::seconds(2); // on each link
 constexpr double min_mean_calls = 0.01; // lower averages are dropped as zero
 
 // Place of a peer in the topology, as seen from this node.
@@ -194,13 +193,10 @@
                         : subtree_usage(s);
 }
 
-void send_heartbeat(node_state& s, peer_state& p, heartbeat it, effects& out)
+void send_heartbeat(node_state& s, peer_state const& p, heartbeat it,
+                    effects& out)
 {
-    // Most heartbeats have no echo, so that those to several hubs are equal.
-    if (s.now >= p.echo_sent_at + duration(echo_period)) {
-        p.echo_sent_at = s.now;
-        it.echoed_at = p.last_heartbeat.sent_at;
-    }
+    it.echoed_at = p.last_heartbeat.sent_at;
     send_to_peer(s, p.link, std::move(it), out);
 }
 
@@ -265,7 +261,7 @@
     if (has_receiver)
         add_counters(s, subtree);
     std::optional<heartbeat> all;
-    for (auto& [link, p] : s.peers) {
+    for (auto const& [link, p] : s.peers) {
         if (p.node.empty())
             continue;
         switch (relation_to(s, p)) {
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -35,18 +35,14 @@
            it.counts.empty() && it.successors.empty() && it.endpoints.empty();
 }
 
-// Members that no peer has confirmed yet are in the list that each node reads.
-bool is_confirmed(member_news const& it)
-{
-    return it.incarnation != 0;
-}
-
-news member_entries(node_state& s)
+// Members of incarnation 0 are only listed by the registry; a peer that has
+// read the list knows them.
+news member_entries(node_state& s, bool peer_has_list)
 {
     news out;
     refresh_self_entry(s);
     for (auto const& [name, it] : s.members)
-        if (is_confirmed(it))
+        if (it.incarnation != 0 || !peer_has_list)
             out.members.push_back(it);
     return out;
 }
@@ -85,7 +81,7 @@
             send_to_peer(s, p.link, std::move(item), out);
     };
     if (known.members != own.members)
-        send(member_entries(s));
+        send(member_entries(s, first.listed_nodes >= s.listed_nodes));
     if (known.endpoints != own.endpoints)
         send(endpoint_entries(s));
     send(other_news(s));
@@ -293,7 +289,7 @@
     using std::to_string;
     news_digests out;
     for (auto const& [name, it] : s.members)
-        add(out.members, name, to_string(it.up));
+        add(out.members, name, it.peer_address, to_string(it.up));
     for (auto const& [name, it] : s.endpoints)
         if (it.entry.at != 0)
             add(out.endpoints, name, to_string(it.entry.at));
