State no data as fresh while the configuration cannot be read

Cause: one age stands for all that a node has from the store, and it was taken from the reads of endpoints alone. No other node reads in time, as all take their data for fresh. Class: evidence of one thing stated as that of another.

Evidence: the new test. The configuration's topic gives no answer; before, the node stated an age under 2 s for as long as it was watched (6 s); now it grows.

Ruled out: to report the store as lost when either topic fails.

New metric: papayahook_store_age_seconds.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -735,6 +735,8 @@
 struct log_reachable
 {
     bool reachable = false;
+    std::chrono::milliseconds data_age{
+        0}; // age of the oldest data read from it
 };
 
 struct peer_opened
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -48,7 +48,7 @@
 void on_log_reachable(node_state& s, log_reachable const& e, effects& out)
 {
     if (e.reachable)
-        update_store_age(s, std::chrono::milliseconds(0), out);
+        update_store_age(s, e.data_age, out);
     else
         s.store_failed_at = s.now;
     if (s.log_reachable == e.reachable)
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -103,6 +103,10 @@
           static_cast<double>(s.calls.size()));
     gauge(r, "papayahook_log_reachable", "1 when the log answers",
           s.log_reachable ? 1 : 0);
+    if (s.store_as_of != core::time_point{})
+        gauge(r, "papayahook_store_age_seconds",
+              "Age of the data of the platform's store that this node knows",
+              std::chrono::duration<double>(s.now - s.store_as_of).count());
     gauge(r, "papayahook_leaving", "1 when the node is leaving",
           s.leaving ? 1 : 0);
     gauge(r, "papayahook_peer_links", "Open links",
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -6,6 +6,7 @@
 #include "support/platform_fake.hpp"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -101,6 +102,15 @@
     return run_call(it).status == 200;
 }
 
+// Returns the value of a metric without labels; NaN if the node has none.
+double gauge_of(platform_node const& n, std::string const& name)
+{
+    auto const text = get(n.metrics, "/metrics");
+    auto const at = text.find("\n" + name + " ");
+    return at == text.npos ? std::nan("")
+                           : std::stod(text.substr(at + name.size() + 2));
+}
+
 // A fake platform with one runner, and two nodes that are ready.
 struct small_platform
 {
@@ -216,6 +226,19 @@
     CHECK(reachable_reports == 0);
 }
 
+TEST_CASE("a node that cannot read the configuration does not take its data "
+          "for fresh")
+{
+    small_platform p;
+    auto const age = [&] {
+        return gauge_of(p.nodes[0], "papayahook_store_age_seconds");
+    };
+    REQUIRE(age() < 2);
+    p.fake.stall(wire::operator_topic);
+    // The runners' topic can still be read.
+    CHECK(eventually(6s, [&] { return age() > 4; }));
+}
+
 TEST_CASE("a killed node restarts with the records of the store")
 {
     small_platform p;
--- a/test/support/platform_fake.cpp
+++ b/test/support/platform_fake.cpp
@@ -128,6 +128,12 @@
     return out;
 }
 
+void platform_fake::stall(std::string const& topic)
+{
+    std::scoped_lock const lock(mutex_);
+    stalled_topics_.insert(topic);
+}
+
 std::vector<api_call> platform_fake::api_calls()
 {
     std::scoped_lock const lock(mutex_);
@@ -197,6 +203,10 @@
                             std::chrono::milliseconds wait)
 {
     std::scoped_lock const lock(mutex_);
+    if (stalled_topics_.contains(query(in, "topic"))) {
+        stalled_reads_.push_back(out);
+        return;
+    }
     auto const& topic = topics_[query(in, "topic")];
     auto const from = std::stoul(query(in, "from"));
     if (from >= topic.size() && wait > 0ms) {
--- a/test/support/platform_fake.hpp
+++ b/test/support/platform_fake.hpp
@@ -7,6 +7,7 @@
 #include <asio/executor_work_guard.hpp>
 #include <map>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace papayahook::support {
@@ -41,6 +42,8 @@
              std::string const& value);
     // Returns the newest value of a key; empty if there is none.
     std::string newest(std::string const& topic, std::string const& key);
+    // Reads of the topic get no answer from now on.
+    void stall(std::string const& topic);
     // Starts a runner and registers it in the store.
     void add_runner(fake_runner const& it);
     std::vector<api_call> api_calls();
@@ -66,6 +69,8 @@
 
     std::mutex mutex_;
     std::map<std::string, std::vector<std::string>> topics_; // raw records
+    std::set<std::string> stalled_topics_;
+    std::vector<runtime::responder_ptr> stalled_reads_;
     std::vector<api_call> api_calls_;
     std::map<std::string, int> run_counts_;
     runtime::header_list last_headers_;
