Bind what an answer says to the incarnation that was called

A runner that was replaced while a call was open there got no requests for its whole life, because the late answer of its predecessor said that it leaves; the predecessor itself did not count as leaving. A pause was moved to the successor likewise.

Cause: on the arrival of an answer the incarnation was looked up in the configuration, which may have a newer one by then.

Change: a request keeps the incarnation that it was sent to.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1164,6 +1164,7 @@
     std::string claim_key;
     call_id call = 0; // open call; 0: none
     std::string endpoint;
+    std::string incarnation;     // of the endpoint when it was called
     std::string pool;            // requested pool, then the endpoint's pool
     std::string version;         // fixed by the first chunk
     std::string move;            // move whose counts it is part of
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -178,6 +178,14 @@
         out);
 }
 
+// Whether the endpoint has not been replaced since the call began.
+bool is_current_incarnation(node_state const& s, request_state const& r)
+{
+    auto const it = s.config.endpoints.find(r.endpoint);
+    return it != s.config.endpoints.end() &&
+           it->second.value.incarnation == r.incarnation;
+}
+
 // The pause holds for this node alone: the endpoint may have room for others.
 void pause_endpoint(node_state& s, request_state const& r,
                     std::chrono::milliseconds pause, effects& out)
@@ -235,6 +243,7 @@
     bool const is_first = r.attempts == 0;
     r.attempts++;
     r.endpoint = endpoint;
+    r.incarnation = e.incarnation;
     r.pool = e.pool;
     r.version = version;
     r.phase = r.head_sent ? request_phase::answering : request_phase::calling;
@@ -292,11 +301,8 @@
         return;
     r->progress_at = s.now;
     if (e.leaving)
-        learn_leaving(
-            s,
-            {r->endpoint, s.config.endpoints.at(r->endpoint).value.incarnation},
-            out);
-    if (e.pause > 0ms)
+        learn_leaving(s, {r->endpoint, r->incarnation}, out);
+    if (e.pause > 0ms && is_current_incarnation(s, *r))
         pause_endpoint(s, *r, e.pause, out);
     // A failure status of the endpoint is passed on as the answer if no other
     // call is allowed.
