Refuse at once, with a true Retry-After, what only paused endpoints may serve

What callers saw: a request for which every endpoint pauses beyond its deadline was refused at the next tick only; one that was rejected by its last endpoint was refused without Retry-After, and one that waited too long with one second, also while all endpoints had asked for a longer pause. The caller then came back to be refused again.

Cause: the end of the pauses was known in one place only, by pool, and was looked at once a tick. By pool it also counted endpoints of a version that the request may not use.

Change: one function says how long all endpoints that may serve a request pause; arrival, retry, shedding and the last failed call ask it. It walks the endpoints only for a request that found none, and once a tick for those that wait alike.

Tests, which failed before: Retry-After of a request whose calls were rejected (0 s instead of 4 s); an order that arrives while both desks pause (waited). The test of waiting requests now lets them wait first, as they are refused on arrival otherwise; its check is the same.

--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -3,6 +3,7 @@
 #include "core/internal.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace papayahook::core {
 
@@ -218,6 +219,24 @@
         enqueue(s, stored, out);
 }
 
+namespace {
+
+// Refuses a request that waits for endpoints which all pause beyond its
+// deadline, so that its caller need not wait for it.
+void refuse_if_lost(node_state& s, request_state& r,
+                    std::chrono::milliseconds pause, effects& out)
+{
+    bool const is_lost = r.phase == request_phase::queued && pause > 0ms &&
+                         r.deadline <= s.now + duration(pause);
+    if (is_lost)
+        refuse_request(s, r,
+                       {503, outcome::not_run, step::queue, "",
+                        "all endpoints pause beyond the deadline", pause},
+                       out);
+}
+
+} // namespace
+
 // Start-time fair queueing: a request's tag is its organisation's virtual
 // time, which advances by the request's cost divided by the organisation's
 // weight.
@@ -237,6 +256,8 @@
     if (r.attempts == 0)
         s.queue_joined_at[pool_of(s, r)] = s.now;
     drain_pool(s, queues, out);
+    if (r.phase == request_phase::queued)
+        refuse_if_lost(s, r, time_until_unpaused(s, r), out);
 }
 
 void remove_from_queue(node_state& s, request_state const& r)
@@ -280,63 +301,39 @@
         count_unserved(s, r);
         refuse_request(s, r,
                        {503, outcome::not_run, step::queue, "",
-                        "no endpoint had room in time", short_retry_after},
+                        "no endpoint had room in time",
+                        std::max<std::chrono::milliseconds>(
+                            short_retry_after, time_until_unpaused(s, r))},
                        out);
     }
 }
 
-namespace {
-
-// Returns when the first endpoint of a pool may get calls again; nullopt if one
-// may get them now, or if there is none.
-std::optional<time_point> end_of_pauses(node_state const& s,
-                                        std::string const& pool)
-{
-    std::optional<time_point> out;
-    for (auto const& [name, it] : s.config.endpoints) {
-        if (it.value.pool != pool || is_leaving(s, it.value))
-            continue;
-        auto const known = s.endpoints.find(name);
-        auto const end = known == s.endpoints.end()
-                             ? time_point{}
-                             : known->second.paused_until;
-        if (end <= s.now)
-            return std::nullopt;
-        out = std::min(out.value_or(end), end);
-    }
-    return out;
-}
-
-} // namespace
-
-// Refuses requests that wait for endpoints which all pause beyond the request's
-// deadline, so that their callers need not wait for it.
 void refuse_paused_requests(node_state& s, effects& out)
 {
-    std::vector<std::pair<request_id, time_point>> lost;
-    for (auto const& [pool, queues] : s.queues) {
-        bool const is_empty = std::ranges::all_of(
-            queues, [](auto const& it) { return it.second.empty(); });
-        auto const end = is_empty ? std::nullopt : end_of_pauses(s, pool);
-        if (!end)
-            continue;
+    bool const any_pauses = std::ranges::any_of(
+        s.endpoints, [&](auto& it) { return it.second.paused_until > s.now; });
+    if (!any_pauses)
+        return;
+    // Requests with the same pool, route, version and schema version wait for
+    // the same endpoints.
+    std::map<std::array<std::string, 4>, std::chrono::milliseconds> pauses;
+    std::vector<std::pair<request_id, std::chrono::milliseconds>> waiting;
+    for (auto const& [pool, queues] : s.queues)
         for (auto const& [name, queue] : queues)
-            for (auto const& it : queue)
-                lost.emplace_back(std::get<request_id>(it), *end);
-    }
-    for (auto const& [id, end] : lost) {
-        auto* const r = find_request(s, id);
-        bool const is_lost = r != nullptr && r->deadline <= end &&
-                             r->phase == request_phase::queued;
-        if (!is_lost)
-            continue;
-        refuse_request(
-            s, *r,
-            {503, outcome::not_run, step::queue, "",
-             "all endpoints pause beyond the deadline",
-             std::chrono::ceil<std::chrono::milliseconds>(end - s.now)},
-            out);
-    }
+            for (auto const& it : queue) {
+                auto const* const r = find_request(s, std::get<request_id>(it));
+                if (r == nullptr)
+                    continue;
+                auto const& asked = r->request;
+                auto const [pause, is_new] = pauses.try_emplace(
+                    {pool, asked.route, r->version, asked.schema_version});
+                if (is_new)
+                    pause->second = time_until_unpaused(s, *r);
+                waiting.emplace_back(asked.id, pause->second);
+            }
+    for (auto const& [id, pause] : waiting)
+        if (auto* const r = find_request(s, id))
+            refuse_if_lost(s, *r, pause, out);
 }
 
 void expire_requests(node_state& s, effects& out)
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -39,6 +39,10 @@
 double prefill_us_per_token(node_state const& s, std::string const& pool);
 void begin_prefill(node_state& s, request_state& r, endpoint const& e);
 void end_prefill(node_state& s, request_state& r, bool answered);
+// Returns how long all endpoints that may serve the request pause; zero if one
+// does not.
+std::chrono::milliseconds time_until_unpaused(node_state const& s,
+                                              request_state const& r);
 bool has_endpoint(node_state const& s, std::string const& pool,
                   std::string const& version, std::string const& schema);
 void record_prefixes(node_state& s, request_state const& r);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t max_prefixes_per_endpoint = 8192;
 constexpr std::size_t max_known_leaving = 4096;
 // Added cost of a full endpoint over an idle one.
@@ -296,6 +298,22 @@
     return best;
 }
 
+// Returns the version that must serve the request; empty while a move is open.
+std::string fixed_version(node_state const& s, request_state const& r,
+                          std::string const& pool)
+{
+    if (!r.version.empty())
+        return r.version;
+    auto const it = s.config.routes.find(r.request.route);
+    bool const moves = std::ranges::any_of(s.config.moves, [&](auto const& m) {
+        auto const& move = m.second;
+        return !move.end &&
+               (move.pool == pool || move.spec.route == r.request.route);
+    });
+    return moves || it == s.config.routes.end() ? std::string{}
+                                                : it->second.value.version;
+}
+
 // Drops leaving incarnations that are not, or no longer, configured: routing
 // does not need them. The newest is kept because its record may still arrive.
 void forget_unconfigured(node_state& s, endpoint_leaving const& newest)
@@ -338,6 +356,27 @@
     });
 }
 
+std::chrono::milliseconds time_until_unpaused(node_state const& s,
+                                              request_state const& r)
+{
+    auto const pool = pool_of(s, r);
+    auto const version = fixed_version(s, r, pool);
+    auto end = time_point::max();
+    for (auto const& [name, it] : s.config.endpoints) {
+        if (!serves(s, it.value, pool, version, r.request.schema_version))
+            continue;
+        auto const known = s.endpoints.find(name);
+        bool const pauses =
+            known != s.endpoints.end() && known->second.paused_until > s.now;
+        if (!pauses)
+            return 0ms;
+        end = std::min(end, known->second.paused_until);
+    }
+    return end == time_point::max()
+               ? 0ms
+               : std::chrono::ceil<std::chrono::milliseconds>(end - s.now);
+}
+
 void begin_prefill(node_state& s, request_state& r, endpoint const& e)
 {
     if (e.kind != endpoint_kind::model_runner)
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -173,9 +173,10 @@
         enqueue(s, r, out);
         return;
     }
-    refuse_request(
-        s, r, {502, outcome::not_run, where, endpoint, std::move(detail), 0s},
-        out);
+    refuse_request(s, r,
+                   {502, outcome::not_run, where, endpoint, std::move(detail),
+                    time_until_unpaused(s, r)},
+                   out);
 }
 
 // Whether the endpoint has not been replaced since the call began.
--- a/test/endpoint_signals_test.cpp
+++ b/test/endpoint_signals_test.cpp
@@ -162,6 +162,39 @@
     CHECK(w.ends.at(id).whole);
 }
 
+TEST_CASE("a caller is not asked back before an endpoint takes requests again")
+{
+    auto w = make_world(1);
+    // The first two calls are rejected; no third one is allowed.
+    w.nodes[0].settings.max_attempts = 2;
+    auto const id = ask_chat(w, 0);
+    for (auto const pause : {7s, 4s}) {
+        auto const call = w.dispatches.at(0).what.call;
+        w.dispatches.clear();
+        give(w, 0, refused(call, pause));
+    }
+    auto const& r = w.nodes[0].requests.at(id);
+    REQUIRE(r.failure);
+    CHECK(r.failure->known_outcome == core::outcome::not_run);
+    CHECK(r.failure->retry_after == 4s);
+}
+
+TEST_CASE("a request that arrives while all endpoints pause beyond its "
+          "deadline is refused at once")
+{
+    auto w = make_world(1);
+    for (auto const* name : {"d1", "d2"})
+        w.nodes[0].endpoints[name].paused_until = w.now + 7s;
+    core::request_arrived asked; // "orders" has a deadline of 5 s
+    asked.id = "n1.1.order";
+    asked.key_digest = "key";
+    asked.route = "orders";
+    give(w, 0, asked);
+    auto const& r = w.nodes[0].requests.at(asked.id);
+    REQUIRE(r.failure);
+    CHECK(r.failure->retry_after == 7s);
+}
+
 TEST_CASE("endpoints that leave are remembered as long as they are configured")
 {
     auto w = make_world(1);
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -354,14 +354,19 @@
           "deadline")
 {
     auto w = make_world(1);
-    for (auto const* name : {"d1", "d2"})
-        w.nodes[0].endpoints[name].paused_until = w.now + 7s;
-    w.nodes[0].endpoints["d2"].paused_until = w.now + 6s;
+    auto const pause = [&](char const* name, std::chrono::milliseconds time) {
+        w.nodes[0].endpoints[name].paused_until = w.now + time;
+    };
+    pause("d1", 1s);
+    pause("d2", 1s);
     core::request_arrived asked; // "orders" has a deadline of 5 s
     asked.id = "n1.1.paused";
     asked.key_digest = "key";
     asked.route = "orders";
     give(w, 0, asked);
+    CHECK_FALSE(w.nodes[0].requests.at(asked.id).failure);
+    pause("d1", 7s);
+    pause("d2", 6s);
     pass_time(w, 50ms);
     auto const& r = w.nodes[0].requests.at(asked.id);
     REQUIRE(r.failure);
