Read pauses in the product's own protocol; name malformed headers

What operators saw: papayahookd did not read Retry-After of its runners; a header that cannot be read was ignored without a line.

Change: one function reads a number of seconds, for both protocols; "inf" no longer counts as the longest pause. The stand-in of a runner says in all its answers that it leaves, and can ask for a pause with its refusals.

Not done: Retry-After as a date. The platform sends seconds; a date is logged as unreadable.

Tests: decoding of malformed headers (new field); a node with real processes sends nothing more to a runner that refused it with a pause of a minute or said that it leaves.

--- a/fakes/runner.cpp
+++ b/fakes/runner.cpp
@@ -4,7 +4,7 @@
 //        each, with "token_index"; "resume_tokens" continues an answer. Each
 //        token contains its request and index, so that tests detect a mix-up.
 //   POST /fault {"fail_rate", "slow_factor", "slow_above", "silent_after",
-//                "die_after", "refuse", "leaving"}
+//                "die_after", "refuse", "pause", "leaving"}
 //   GET  /load, /counts
 #include "fakes/common.hpp"
 
@@ -55,6 +55,7 @@
     int silent_after = -1; // tokens; then stalls with the connection open
     int die_after = -1;    // tokens; then the process exits
     bool refuse = false;
+    std::string pause; // seconds, sent with refusals; empty: none
     bool leaving = false;
 };
 
@@ -77,6 +78,7 @@
     m.silent_after = body.value("silent_after", m.silent_after);
     m.die_after = body.value("die_after", m.die_after);
     m.refuse = body.value("refuse", m.refuse);
+    m.pause = body.value("pause", m.pause);
     m.leaving = body.value("leaving", m.leaving);
 }
 
@@ -170,15 +172,21 @@
                  responder_ptr const& out)
 {
     m.requests++;
+    runtime::header_list headers;
+    if (m.leaving)
+        headers.emplace_back("X-Leaving", "1");
     if (m.refuse) {
-        send_json(out, 503, {{"error", "not run"}}, {{"X-Not-Run", "1"}});
+        headers.emplace_back("X-Not-Run", "1");
+        if (!m.pause.empty())
+            headers.emplace_back("Retry-After", m.pause);
+        send_json(out, 503, {{"error", "not run"}}, headers);
         return;
     }
     auto const share = [&](std::uint64_t n) {
         return static_cast<std::uint64_t>(static_cast<double>(n) * m.fail_rate);
     };
     if (share(m.requests) != share(m.requests - 1)) {
-        send_json(out, 500, {{"error", "failed"}});
+        send_json(out, 500, {{"error", "failed"}}, headers);
         return;
     }
     auto const body = parse_body(in);
@@ -191,9 +199,7 @@
     g->uncached = prefill(m, prompt_of(body)) + static_cast<int>(resumed);
     m.prefilled += static_cast<std::uint64_t>(g->uncached);
     g->out = out;
-    runtime::header_list headers{{"Content-Type", "text/event-stream"}};
-    if (m.leaving)
-        headers.emplace_back("X-Leaving", "1");
+    headers.emplace_back("Content-Type", "text/event-stream");
     out->start(200, headers);
     m.waiting.push_back(std::move(g));
     start_next(m);
--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -693,8 +693,13 @@
     std::vector<std::pair<std::string, std::string>> headers;
     // How long the endpoint wants no requests of this node; zero: not stated.
     std::chrono::milliseconds pause{0};
+    // Header that states one of these and was ignored because it is malformed.
+    std::string malformed_header;
 };
 
+// Longest pause that an endpoint can ask for.
+inline constexpr std::chrono::hours max_endpoint_pause{1};
+
 // One token with its index from a model runner, or one piece of another body.
 struct answer_chunk
 {
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -385,7 +385,7 @@
 PAPAYAHOOK_JSON(caller_drained, id, index)
 PAPAYAHOOK_JSON(reattach, id, from)
 PAPAYAHOOK_JSON(answer_head, call, status, content_type, headers, not_run,
-                leaving, pause)
+                leaving, pause, malformed_header)
 PAPAYAHOOK_JSON(answer_chunk, call, index, data)
 PAPAYAHOOK_JSON(answer_end, call, chunks)
 PAPAYAHOOK_JSON(call_failed, call, (failed_step, "where"), may_have_run, detail)
--- a/src/codec/text.cpp
+++ b/src/codec/text.cpp
@@ -1,12 +1,12 @@
 #include "codec/text.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <openssl/evp.h>
 #include <stdexcept>
 
-#include <algorithm>
-
 namespace papayahook::codec {
 
 std::string_view trim(std::string_view it)
@@ -29,6 +29,19 @@
     return out;
 }
 
+std::optional<std::chrono::milliseconds>
+parse_seconds(std::string_view text, std::chrono::milliseconds max)
+{
+    using seconds = std::chrono::duration<double>;
+    double value = 0;
+    auto const last = text.data() + text.size();
+    auto const [end, ec] = std::from_chars(text.data(), last, value);
+    if (ec != std::errc{} || end != last || !(value > 0) || std::isinf(value))
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        std::min<seconds>(seconds(value), max));
+}
+
 std::string read_text(std::string const& path)
 {
     std::ifstream in(path);
--- a/src/codec/text.hpp
+++ b/src/codec/text.hpp
@@ -1,6 +1,8 @@
 // Text helpers that several decoders share.
 #pragma once
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +15,11 @@
 // Returns the trimmed parts between separators; none for an empty text.
 std::vector<std::string_view> split(std::string_view text, char separator);
 
+// Converts a number of seconds, rounded up; values above `max` to `max`.
+// Returns nullopt unless the text is a positive, finite number.
+std::optional<std::chrono::milliseconds>
+parse_seconds(std::string_view text, std::chrono::milliseconds max);
+
 // Returns the contents of a file; empty if there is no such file.
 std::string read_text(std::string const& path);
 
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -317,6 +317,7 @@
 inline constexpr int endpoint_paused = 502;
 inline constexpr int handed_over = 503;
 inline constexpr int taken_over = 504;
+inline constexpr int header_ignored = 505;
 inline constexpr int peer_up = 601;
 inline constexpr int peer_down = 602;
 inline constexpr int peer_refused = 603;
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -301,6 +301,9 @@
     if (r == nullptr)
         return;
     r->progress_at = s.now;
+    if (!e.malformed_header.empty())
+        emit_log_event(out, events::header_ignored, r->request.id, r->endpoint,
+                       e.malformed_header);
     if (e.leaving)
         learn_leaving(s, {r->endpoint, r->incarnation}, out);
     if (e.pause > 0ms && is_current_incarnation(s, *r))
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -1,4 +1,5 @@
 // Calls to endpoints and their answers.
+#include "codec/text.hpp"
 #include "runtime/node.hpp"
 
 #include <algorithm>
@@ -54,6 +55,12 @@
     head.content_type = type;
     head.not_run = header_value(headers, "X-Not-Run") == "1";
     head.leaving = header_value(headers, "X-Leaving") == "1";
+    auto const pause = header_value(headers, "Retry-After");
+    if (status == 503 && pause.data() != nullptr) {
+        auto const time = codec::parse_seconds(pause, core::max_endpoint_pause);
+        head.pause = time.value_or(0ms);
+        head.malformed_header = time ? "" : "Retry-After";
+    }
     handle(n, head);
 }
 
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -294,9 +294,30 @@
     CHECK(pause(503, "0.25") == 250ms);
     CHECK(pause(503, "soon") == 0ms);
     CHECK(pause(503, "-1") == 0ms);
-    CHECK(pause(503, "1e300") == max_endpoint_pause);
+    CHECK(pause(503, "1e300") == core::max_endpoint_pause);
     CHECK(pause(429, "2") == 0ms);
     CHECK(decode_head(1, 503, {}).pause == 0ms);
+    CHECK(decode_head(1, 503, {}).malformed_header.empty());
+}
+
+TEST_CASE("a malformed header about leaving or a pause is named and ignored")
+{
+    using headers = runtime::header_list;
+    for (auto const& it :
+         {headers{{"Server-Leaving", "yes"}}, headers{{"Server-Leaving", ""}},
+          headers{{"Server-Leaving", "1"}, {"server-leaving", "1"}}}) {
+        auto const head = decode_head(1, 200, it);
+        CHECK_FALSE(head.leaving);
+        CHECK(head.malformed_header == "Server-Leaving");
+    }
+    for (auto const* text : {"soon", "-1", "0", "inf", "nan", "1e999", "",
+                             "Sat, 05 Dec 2026 02:00:00 GMT"}) {
+        auto const head = decode_head(1, 503, {{"Retry-After", text}});
+        CHECK(head.pause == 0ms);
+        CHECK(head.malformed_header == "Retry-After");
+    }
+    CHECK(decode_head(1, 200, {{"Server-Leaving", "0"}, {"Retry-After", "x"}})
+              .malformed_header.empty());
 }
 
 TEST_CASE("503 and 429 are sent only for requests that have not run")
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -376,6 +376,26 @@
     CHECK(requests_at(f, "r1") == before);
 }
 
+TEST_CASE("a node sends nothing more to an endpoint that asks for a pause or "
+          "whose refusal says that it leaves")
+{
+    auto const* const fault = GENERATE(R"({"refuse": true, "pause": "60"})",
+                                       R"({"refuse": true, "leaving": true})");
+    auto f = start_fleet({.nodes = 1, .runners = 3});
+    run_calls(chat_calls(f, 30, 300, 4));
+    post(f.endpoint("r1").address, "/fault", fault);
+    auto const at_start = requests_at(f, "r1");
+    bool const is_refused = eventually(10s, [&] {
+        check_all_complete(run_calls(chat_calls(f, 1, 1, 4)), 4);
+        return requests_at(f, "r1") > at_start;
+    });
+    REQUIRE(is_refused);
+    post(f.endpoint("r1").address, "/fault", R"({"refuse": false})");
+    auto const before = requests_at(f, "r1");
+    check_all_complete(run_calls(chat_calls(f, 100, 100, 4)), 4);
+    CHECK(requests_at(f, "r1") == before);
+}
+
 TEST_CASE("a stopping node completes its streams, even with the log down")
 {
     auto f = start_fleet({.nodes = 2, .runners = 8, .slots = 32});
