Test that a flood of urgent requests does not delay others at single slots

Where endpoints have several slots, a share of them is kept free for organisations within their share, and these start there whatever the order of the queues. An endpoint with a single slot has none to keep: the order alone decides who gets it next.

--- a/test/limits_test.cpp
+++ b/test/limits_test.cpp
@@ -214,6 +214,29 @@
     CHECK(w.dispatches[0].what.id == "n1.1.1000");
 }
 
+TEST_CASE("urgent requests of a flooding organisation do not delay another one "
+          "where endpoints have a single slot")
+{
+    // No slot of such an endpoint can be kept free for the other organisation.
+    auto w = two_organisations();
+    for (auto const* name : {"r1", "r2"}) {
+        auto single = w.nodes[0].config.endpoints.at(name).value;
+        single.slots = 1;
+        publish(w, single);
+    }
+    read_log(w, 0);
+    send_requests(w, 0, 20, "a", core::priority_class::order);
+    send_requests(w, 20, 1, "b", core::priority_class::check);
+    REQUIRE(w.nodes[0].calls.size() == 2);
+    auto const open = std::exchange(w.dispatches, {});
+    auto const call = open.at(0).what.call;
+    give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+    give(w, 0, core::answer_chunk{call, 0, "t"});
+    give(w, 0, core::answer_end{call, 1});
+    REQUIRE(w.dispatches.size() == 1);
+    CHECK(w.dispatches[0].what.organisation == "b");
+}
+
 TEST_CASE("a full queue of one organisation refuses no request of another")
 {
     auto w = two_organisations();
