--- a/src/daemon/log_appender.cpp
+++ b/src/daemon/log_appender.cpp
@@ -16,7 +16,8 @@
 
 constexpr char const* line_pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
 // Events that are common under load; logged at level "debug".
-constexpr std::array frequent_events{401, 402, 403, 407, 408, 409, 604};
+constexpr std::array frequent_events{306, 401, 402, 403, 407,
+                                     408, 409, 604, 605};
 
 struct appender
 {
