Test with real processes that leaving and pausing runners get no more requests

A node of the platform against the stand-in of runners: one that says in its answers that it leaves, and one that refuses with Retry-After, on plain and on streaming routes.

--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -151,6 +151,41 @@
           std::string::npos);
 }
 
+TEST_CASE("a node sends nothing more to a runner that has said that it leaves, "
+          "or within the pause that it asked for")
+{
+    small_platform p;
+    p.fake.add_runner({"i-2", "app", "v2"});
+    auto const runs = [&](char const* version) {
+        return p.fake.run_counts()[version];
+    };
+    int sent = 0;
+    auto const call = [&](char const* path) {
+        return run_call(
+            request(p.nodes[0], path, "id-" + std::to_string(++sent)));
+    };
+    REQUIRE(eventually(5s, [&] {
+        call("/p/x");
+        return runs("v1") > 0 && runs("v2") > 0;
+    }));
+    bool const pauses = GENERATE(false, true);
+    auto const* const path = GENERATE("/p/x", "/s/x");
+    if (pauses)
+        p.fake.set_answer("i-1", 503,
+                          {{"Not-Executed", "1"}, {"Retry-After", "60"}});
+    else
+        p.fake.set_answer("i-1", 200, {{"Server-Leaving", "1"}});
+    auto const met = runs("v1");
+    REQUIRE(eventually(5s, [&] {
+        call(path);
+        return runs("v1") > met;
+    }));
+    auto const before = runs("v1");
+    for (int n = 0; n < 40; ++n)
+        CHECK(call(path).status == 200);
+    CHECK(runs("v1") == before);
+}
+
 TEST_CASE("usage is reported to the cloud API with a fencing token")
 {
     small_platform p;
--- a/test/support/platform_fake.cpp
+++ b/test/support/platform_fake.cpp
@@ -134,6 +134,13 @@
     stalled_topics_.insert(topic);
 }
 
+void platform_fake::set_answer(std::string const& runner, int status,
+                               runtime::header_list const& headers)
+{
+    std::scoped_lock const lock(mutex_);
+    answers_[runner] = {status, headers};
+}
+
 std::vector<api_call> platform_fake::api_calls()
 {
     std::scoped_lock const lock(mutex_);
@@ -249,8 +256,13 @@
     last_headers_ = in.headers;
     runtime::header_list headers{{wire::request_id, id},
                                  {"Response-Seal", "seal-of-" + r.name}};
-    if (!in.path.starts_with("/s/")) {
-        out->send(r.fails ? 500 : 200, headers, "answer to " + id);
+    auto const [status, extra] =
+        answers_.contains(r.name)
+            ? answers_.at(r.name)
+            : std::pair(r.fails ? 500 : 200, runtime::header_list{});
+    std::ranges::copy(extra, std::back_inserter(headers));
+    if (!in.path.starts_with("/s/") || status != 200) {
+        out->send(status, headers, "answer to " + id);
         return;
     }
     headers.emplace_back("Content-Type", "text/event-stream");
--- a/test/support/platform_fake.hpp
+++ b/test/support/platform_fake.hpp
@@ -46,6 +46,9 @@
     void stall(std::string const& topic);
     // Starts a runner and registers it in the store.
     void add_runner(fake_runner const& it);
+    // The runner answers with this status and these headers from now on.
+    void set_answer(std::string const& runner, int status,
+                    runtime::header_list const& headers);
     std::vector<api_call> api_calls();
     // Returns the number of requests that runners have run, by version.
     std::map<std::string, int> run_counts();
@@ -73,6 +76,7 @@
     std::vector<runtime::responder_ptr> stalled_reads_;
     std::vector<api_call> api_calls_;
     std::map<std::string, int> run_counts_;
+    std::map<std::string, std::pair<int, runtime::header_list>> answers_;
     runtime::header_list last_headers_;
     asio::io_context io_;
     asio::executor_work_guard<asio::io_context::executor_type> work_;
