--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -693,7 +693,8 @@
     std::vector<std::pair<std::string, std::string>> headers;
     // How long the endpoint wants no requests of this node; zero: not stated.
     std::chrono::milliseconds pause{0};
-    // Header that states one of these and was ignored because it is malformed.
+    // Name of a header about leaving or a pause that was ignored because it is
+    // malformed; empty: none.
     std::string malformed_header;
 };
 
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -25,6 +25,8 @@
 void drain_queues(node_state& s, effects& out);
 void remove_from_queue(node_state& s, request_state const& r);
 std::string pool_of(node_state const& s, request_state const& r);
+// Refuses queued requests that wait for endpoints which all pause beyond the
+// request's deadline.
 void refuse_paused_requests(node_state& s, effects& out);
 std::string pick_weighted_pool(route const& it, request_id const& id);
 void expire_requests(node_state& s, effects& out);
