--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -261,6 +261,26 @@
     CHECK(reachable_reports == 0);
 }
 
+TEST_CASE("a third node does not read the store while the first two read it in "
+          "vain")
+{
+    small_platform p;
+    auto const third = make_node("n3", p.fake, free_port());
+    REQUIRE(eventually(10s, [&] { return is_ready(third); }));
+    auto const changes = [&] {
+        auto const log = read_file(third.log);
+        std::size_t n = 0;
+        for (auto at = log.find("event=306"); at != log.npos;
+             at = log.find("event=306", at + 1))
+            n++;
+        return n;
+    };
+    std::this_thread::sleep_for(2s); // until its peers have told it their data
+    auto const before = changes();
+    std::this_thread::sleep_for(6s); // nothing is written meanwhile
+    CHECK(changes() == before);
+}
+
 TEST_CASE("a node that cannot read the configuration does not take its data "
           "for fresh")
 {
