Offer a request to a peer that is linked after the others declined it

Ruled out: load as such. The new test has the same order of events without it and failed before.

Change: the peers that declined are remembered until the end of the pause; a peer that is not among them is asked at the next tick.

--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -28,18 +28,6 @@
     return r.ended_at != time_point{};
 }
 
-bool can_hand_over(node_state const& s, request_state const& r)
-{
-    if (r.phase == request_phase::handed_over || !r.taken_by.empty())
-        return false;
-    if (has_ended(r)) // the caller may still re-attach
-        return !r.caller_present && holds_whole_answer(r);
-    bool const due = s.now >= s.leaving_since + s.settings.hand_over_after;
-    bool const paused = r.offered_at != time_point{} &&
-                        s.now < r.offered_at + offer_round_pause;
-    return due && !paused && r.repeatable && holds_whole_answer(r);
-}
-
 // Picks the peer for a request. Peers in other zones are preferred, because a
 // whole zone may be leaving.
 peer_state const* pick_peer(node_state const& s, request_state const& r)
@@ -61,6 +49,25 @@
     return best;
 }
 
+// Whether all peers have declined the request a short time ago.
+bool is_between_rounds(node_state const& s, request_state const& r)
+{
+    return r.offered_at != time_point{} &&
+           s.now < r.offered_at + offer_round_pause;
+}
+
+bool can_hand_over(node_state const& s, request_state const& r)
+{
+    if (r.phase == request_phase::handed_over || !r.taken_by.empty())
+        return false;
+    if (has_ended(r)) // the caller may still re-attach
+        return !r.caller_present && holds_whole_answer(r);
+    bool const due = s.now >= s.leaving_since + s.settings.hand_over_after;
+    // A peer that was linked after the others declined is asked at once.
+    bool const paused = is_between_rounds(s, r) && pick_peer(s, r) == nullptr;
+    return due && !paused && r.repeatable && holds_whole_answer(r);
+}
+
 hand_over make_offer(node_state const& s, request_state const& r)
 {
     hand_over out;
@@ -116,7 +123,6 @@
     r.offered_to = 0;
     if (offer_request(s, r, out))
         return;
-    r.declined_by.clear();
     r.offered_at = s.now;
     if (has_ended(r))
         r.phase = request_phase::done;
@@ -190,9 +196,13 @@
 #endif
     if (!s.leaving)
         return;
-    for (auto const& id :
-         requests_where(s, [&](auto const& r) { return can_hand_over(s, r); }))
-        offer_request(s, s.requests.at(id), out);
+    for (auto const& id : requests_where(
+             s, [&](auto const& r) { return can_hand_over(s, r); })) {
+        auto& r = s.requests.at(id);
+        if (!is_between_rounds(s, r))
+            r.declined_by.clear();
+        offer_request(s, r, out);
+    }
     for (auto const& id : requests_where(s, [&](auto const& r) {
              return awaits_answer(r) && r.offered_at + offer_timeout <= s.now;
          }))
--- a/test/handover_test.cpp
+++ b/test/handover_test.cpp
@@ -238,6 +238,32 @@
     CHECK(core::holders_of(n, "bad id").empty());
 }
 
+TEST_CASE("a request that all linked peers declined is offered to a new peer at "
+          "once")
+{
+    // The only linked peer is told to leave just before the offer.
+    auto w = make_world(nodes);
+    auto const link = [&](std::size_t a, std::size_t b) {
+        give(w, a, core::peer_opened{b + 1});
+        give(w, b, core::peer_opened{a + 1});
+        deliver_all_messages(w);
+    };
+    link(0, 1);
+    auto const id = ask_chat(w, 0);
+    give(w, 0, core::shutdown_requested{});
+    pass_time(w, 900ms);
+    give(w, 1, core::shutdown_requested{});
+    pass_time(w, 150ms);
+    deliver_all_messages(w);
+    auto const& r = w.nodes[0].requests.at(id);
+    REQUIRE(r.offer_number == 1);
+    REQUIRE(r.taken_by.empty());
+    link(0, 2);
+    pass_time(w, 100ms);
+    deliver_all_messages(w);
+    CHECK(r.taken_by == "n3");
+}
+
 TEST_CASE("a leaving node stays until its last answer had time to be written")
 {
     auto w = make_world(1);
