Keep unfetched answers of a leaving node until a peer is linked

Change: a leaving node waits for a peer as long as it would go on with its requests and ask again, two seconds, before it gives up answers that nobody has fetched. It concerns papayahookd alone.

Test, which failed before: the node exited at once.

--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -56,12 +56,19 @@
            s.now < r.offered_at + offer_round_pause;
 }
 
+// Whether the caller may still re-attach for the answer, and no peer has it.
+bool is_unfetched(request_state const& r)
+{
+    return has_ended(r) && !r.caller_present && holds_whole_answer(r) &&
+           r.taken_by.empty();
+}
+
 bool can_hand_over(node_state const& s, request_state const& r)
 {
     if (r.phase == request_phase::handed_over || !r.taken_by.empty())
         return false;
-    if (has_ended(r)) // the caller may still re-attach
-        return !r.caller_present && holds_whole_answer(r);
+    if (has_ended(r))
+        return is_unfetched(r);
     bool const due = s.now >= s.leaving_since + s.settings.hand_over_after;
     // A peer that was linked after the others declined is asked at once.
     bool const paused = is_between_rounds(s, r) && pick_peer(s, r) == nullptr;
@@ -189,6 +196,16 @@
 
 } // namespace
 
+bool waits_for_peer(node_state const& s)
+{
+    auto const end = s.leaving_since + duration(s.settings.hand_over_after) +
+                     duration(offer_round_pause);
+    return s.settings.hand_over_enabled && s.now < end &&
+           std::ranges::any_of(s.requests, [](auto const& it) {
+               return is_unfetched(it.second);
+           });
+}
+
 void hand_over_requests(node_state& s, effects& out)
 {
 #if PAPAYAHOOK_MUTATION_NO_HAND_OVER
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -259,6 +259,8 @@
 
 // handover.cpp: hand-over of a leaving node's requests
 void hand_over_requests(node_state& s, effects& out);
+// Whether a leaving node holds answers for which a peer may still be linked.
+bool waits_for_peer(node_state const& s);
 void on_hand_over(node_state& s, peer_state const& p, hand_over const& e,
                   effects& out);
 void on_hand_over_answer(node_state& s, peer_state const& p,
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -110,7 +110,8 @@
     bool const out_of_time =
         s.now >= s.leaving_since + s.settings.drain_timeout;
     bool const is_idle = callers_informed && flushed && !in_progress &&
-                         s.appends.empty() && s.claim_log.batch.empty();
+                         !waits_for_peer(s) && s.appends.empty() &&
+                         s.claim_log.batch.empty();
     if (is_idle || out_of_time)
         out.push_back(exit_process{});
 }
--- a/test/handover_test.cpp
+++ b/test/handover_test.cpp
@@ -238,8 +238,9 @@
     CHECK(core::holders_of(n, "bad id").empty());
 }
 
-TEST_CASE("a request that all linked peers declined is offered to a new peer at "
-          "once")
+TEST_CASE(
+    "a request that all linked peers declined is offered to a new peer at "
+    "once")
 {
     // The only linked peer is told to leave just before the offer.
     auto w = make_world(nodes);
@@ -264,6 +265,44 @@
     CHECK(r.taken_by == "n3");
 }
 
+TEST_CASE("a leaving node without a peer keeps the answers that nobody has "
+          "fetched until one is linked")
+{
+    auto w = make_world(2);
+    auto const id = ask_chat(w, 0);
+    w.nodes[0].requests.at(id).request.run_without_caller = true;
+    give(w, 0, core::caller_gone{id});
+    auto const call = w.dispatches.at(0).what.call;
+    give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+    give(w, 0, core::answer_chunk{call, 0, token(id, 0)});
+    give(w, 0, core::answer_end{call, 1});
+    pass_time(w, 2s);
+    auto const exits = [&] {
+        core::effects out;
+        core::reduce(w.nodes[0], {w.now, core::tick{}}, out);
+        return std::ranges::any_of(out, [](auto const& it) {
+            return std::holds_alternative<core::exit_process>(it);
+        });
+    };
+    give(w, 0, core::shutdown_requested{});
+    CHECK_FALSE(exits());
+    SECTION("a peer is linked")
+    {
+        link_all(w);
+        deliver_all_messages(w);
+        pass_time(w, 100ms);
+        deliver_all_messages(w);
+        REQUIRE(w.nodes[1].requests.contains(id));
+        CHECK(w.nodes[1].requests.at(id).chunks.size() == 1);
+        CHECK(exits());
+    }
+    SECTION("no peer is linked")
+    {
+        pass_time(w, 3s);
+        CHECK(exits());
+    }
+}
+
 TEST_CASE("a leaving node stays until its last answer had time to be written")
 {
     auto w = make_world(1);
