--- a/test/handover_test.cpp
+++ b/test/handover_test.cpp
@@ -24,6 +24,16 @@
     std::uint64_t next = 0;
 };
 
+// Whether the first node ends its process at a tick.
+bool exits(world& w)
+{
+    core::effects out;
+    core::reduce(w.nodes[0], {w.now, core::tick{}}, out);
+    return std::ranges::any_of(out, [](auto const& it) {
+        return std::holds_alternative<core::exit_process>(it);
+    });
+}
+
 struct session
 {
     world w;
@@ -277,15 +287,8 @@
     give(w, 0, core::answer_chunk{call, 0, token(id, 0)});
     give(w, 0, core::answer_end{call, 1});
     pass_time(w, 2s);
-    auto const exits = [&] {
-        core::effects out;
-        core::reduce(w.nodes[0], {w.now, core::tick{}}, out);
-        return std::ranges::any_of(out, [](auto const& it) {
-            return std::holds_alternative<core::exit_process>(it);
-        });
-    };
     give(w, 0, core::shutdown_requested{});
-    CHECK_FALSE(exits());
+    CHECK_FALSE(exits(w));
     SECTION("a peer is linked")
     {
         link_all(w);
@@ -294,12 +297,12 @@
         deliver_all_messages(w);
         REQUIRE(w.nodes[1].requests.contains(id));
         CHECK(w.nodes[1].requests.at(id).chunks.size() == 1);
-        CHECK(exits());
+        CHECK(exits(w));
     }
     SECTION("no peer is linked")
     {
         pass_time(w, 3s);
-        CHECK(exits());
+        CHECK(exits(w));
     }
 }
 
@@ -313,14 +316,7 @@
     give(w, 0, core::answer_head{call, 200, "text/event-stream"});
     give(w, 0, core::answer_chunk{call, 0, "t"});
     give(w, 0, core::answer_end{call, 1});
-    auto const exits = [&] {
-        core::effects out;
-        core::reduce(w.nodes[0], {w.now, core::tick{}}, out);
-        return std::ranges::any_of(out, [](auto const& it) {
-            return std::holds_alternative<core::exit_process>(it);
-        });
-    };
-    CHECK_FALSE(exits());
+    CHECK_FALSE(exits(w));
     w.now += w.nodes[0].settings.exit_linger + 1ms;
-    CHECK(exits());
+    CHECK(exits(w));
 }
