Log which prompts were on an endpoint that closed their connections

Cause for this change: call_failed names the endpoint and the step.

A failed call says whether the endpoint closed the connection and the status of the head, if one came. Event 410 (call_broken_off) writes incarnation, status, progress and parts.

Golden effects: one line has the new, empty field of a handed-over request; nothing else differs, and the recorded events are read as before, without it.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -506,6 +506,9 @@
     std::vector<std::uint64_t> prefix_blocks; // chained hashes of the prompt
     // Tokens of each block; empty: prefix_block_tokens in each.
     std::vector<int> block_tokens;
+    // Identities of the parts of the prompt that other requests may have as
+    // well. Unlike a block, a part is the same wherever it stands.
+    std::vector<std::uint64_t> shared_parts;
 };
 
 // The original HTTP request without the caller's key. The core does not read
@@ -721,6 +724,9 @@
     step failed_step = step::connect;
     bool may_have_run = false;
     std::string detail;
+    // The endpoint's side closed or reset the connection during the call.
+    bool closed_by_endpoint = false;
+    int status = 0; // of the answer's head; 0: none was received
 };
 
 struct log_read
@@ -1181,6 +1187,8 @@
     bool may_have_run = false;
     bool caller_present = true;
     time_point call_started{};
+    // Arrival of the first chunk of the open call; time_point{}: none yet.
+    time_point answering_since{};
     int prefill_tokens = 0; // of the open call, until its first token
     int prefill_ahead = 0;  // tokens pending at the endpoint at call_started
     time_point progress_at{};
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -375,7 +375,7 @@
                 (via_model_path, "model"), (run_without_caller, "keep"),
                 idempotency_key, body_digest, schema_version, klass, deadline,
                 prompt_tokens, (max_answer_tokens, "answer_tokens"),
-                prefix_blocks, block_tokens)
+                prefix_blocks, block_tokens, shared_parts)
 PAPAYAHOOK_JSON(caller_message, method, path, query, headers, body)
 PAPAYAHOOK_JSON(hand_over, offer, (request, "asked"), message, organisation,
                 klass, (time_left, "left"), endpoint, version, status,
@@ -388,7 +388,8 @@
                 leaving, pause, malformed_header)
 PAPAYAHOOK_JSON(answer_chunk, call, index, data)
 PAPAYAHOOK_JSON(answer_end, call, chunks)
-PAPAYAHOOK_JSON(call_failed, call, (failed_step, "where"), may_have_run, detail)
+PAPAYAHOOK_JSON(call_failed, call, (failed_step, "where"), may_have_run, detail,
+                closed_by_endpoint, status)
 PAPAYAHOOK_JSON(log_read, stream, start, end, entries)
 PAPAYAHOOK_JSON(append_done, append, ok, in_doubt)
 PAPAYAHOOK_JSON(log_reachable, reachable, data_age)
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -287,6 +287,8 @@
 void record_latency(latency_histogram& it, duration passed);
 void emit_log_event(effects& out, int number, std::string subject,
                     std::string peer, std::string detail);
+// Returns the identity of a part of a prompt as hexadecimal digits.
+std::string part_text(std::uint64_t part);
 void record_decision(node_state& s, std::string subject, std::string rule,
                      std::string detail);
 std::uint64_t
@@ -317,6 +319,7 @@
 inline constexpr int request_sent = 407;
 inline constexpr int request_answered = 408;
 inline constexpr int caller_left = 409;
+inline constexpr int call_broken_off = 410;
 inline constexpr int endpoint_leaving = 501;
 inline constexpr int endpoint_paused = 502;
 inline constexpr int handed_over = 503;
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -244,6 +245,15 @@
                             std::move(detail)});
 }
 
+std::string part_text(std::uint64_t part)
+{
+    constexpr int base = 16;
+    std::array<char, 2 * sizeof part> digits{};
+    auto const end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), part, base);
+    return {digits.data(), end.ptr};
+}
+
 void record_decision(node_state& s, std::string subject, std::string rule,
                      std::string detail)
 {
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -179,6 +179,21 @@
                    out);
 }
 
+std::string describe_broken_call(node_state const& s, request_state const& r,
+                                 call_failed const& e)
+{
+    auto out = "incarnation " + r.incarnation + ", status " +
+               std::to_string(e.status) + ", after " +
+               milliseconds_text(s.now - r.call_started) + ", answering for " +
+               (r.answering_since == time_point{}
+                    ? std::string("0 ms")
+                    : milliseconds_text(s.now - r.answering_since)) +
+               ", parts";
+    for (auto const part : r.request.shared_parts)
+        out += " " + part_text(part);
+    return out;
+}
+
 // Whether the endpoint has not been replaced since the call began.
 bool is_current_incarnation(node_state const& s, request_state const& r)
 {
@@ -251,6 +266,7 @@
     r.call = s.next_call++;
     r.call_started = s.now;
     r.progress_at = s.now;
+    r.answering_since = {};
     s.calls[r.call] = r.request.id;
     begin_prefill(s, r, e);
     s.endpoints[endpoint].in_flight++;
@@ -347,6 +363,8 @@
     if (r == nullptr)
         return;
     r->progress_at = s.now;
+    if (r->answering_since == time_point{})
+        r->answering_since = s.now;
     auto const next = r->chunks.size();
 #if !PAPAYAHOOK_MUTATION_ACCEPT_ANY_ORDER
     if (e.index < next)
@@ -394,8 +412,12 @@
 void on_call_failed(node_state& s, call_failed const& e, effects& out)
 {
     auto* const r = request_of_call(s, e.call);
-    if (r != nullptr)
-        fail_call(s, *r, e.failed_step, e.may_have_run, e.detail, out);
+    if (r == nullptr)
+        return;
+    if (e.closed_by_endpoint && !r->request.shared_parts.empty())
+        emit_log_event(out, events::call_broken_off, r->request.id, r->endpoint,
+                       describe_broken_call(s, *r, e));
+    fail_call(s, *r, e.failed_step, e.may_have_run, e.detail, out);
 }
 
 void on_caller_gone(node_state& s, caller_gone const& e, effects& out)
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -83,7 +83,8 @@
 }
 
 // Counts words as tokens and computes a chained hash for each full block of
-// tokens, so that equal hashes mean equal prefixes.
+// tokens, so that equal hashes mean equal prefixes. The whole prompt is the one
+// part of it that other requests may have.
 void measure_prompt(std::string const& prompt, core::request_arrived& out)
 {
     std::istringstream words(prompt);
@@ -98,6 +99,7 @@
         out.prefix_blocks.push_back(chain);
         block.clear();
     }
+    out.shared_parts = {core::hash_of(prompt)};
 }
 
 std::variant<parsed_request, bad_request>
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -116,9 +116,9 @@
     if (!result.error && whole)
         handle(n, core::answer_end{call, c.next_index});
     else if (result.error)
-        handle(n,
-               core::call_failed{call, step_of(result.step),
-                                 result.may_have_run, result.error.message()});
+        handle(n, core::call_failed{call, step_of(result.step),
+                                    result.may_have_run, result.error.message(),
+                                    result.closed_by_server, result.status});
     else
         handle(n, core::call_failed{call, core::step::receive, true,
                                     "the stream ended without its end mark"});
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -131,9 +131,9 @@
         return;
     auto& r = node.mapped();
     if (result.error) {
-        handle(n,
-               core::call_failed{call, step_of(result.step),
-                                 result.may_have_run, result.error.message()});
+        handle(n, core::call_failed{call, step_of(result.step),
+                                    result.may_have_run, result.error.message(),
+                                    result.closed_by_server, result.status});
         return;
     }
     if (!r.head_reported)
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -213,6 +213,13 @@
     c.socket.close(ec);
 }
 
+bool is_closed_by_server(std::error_code ec)
+{
+    return ec == make_error(fault::premature_end) ||
+           ec == asio::error::connection_reset ||
+           ec == asio::error::broken_pipe;
+}
+
 void fail(connection_ptr const& c, std::error_code ec, std::string step)
 {
     if (!c->client)
@@ -228,6 +235,7 @@
     out.step = std::move(step);
     out.status = t->status;
     out.may_have_run = t->sent_any;
+    out.closed_by_server = t->sent_any && is_closed_by_server(ec);
     t->call.on_done(out);
 }
 
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -12,10 +12,11 @@
 // have left this process on an established connection.
 struct http_result
 {
-    std::error_code error;     // set when the exchange did not complete
-    std::string step;          // "connect", "send", "receive", "timeout"
-    int status = 0;            // 0 when no head was received
-    bool may_have_run = false; // a byte may have reached the server
+    std::error_code error;         // set when the exchange did not complete
+    std::string step;              // "connect", "send", "receive", "timeout"
+    int status = 0;                // 0 when no head was received
+    bool may_have_run = false;     // a byte may have reached the server
+    bool closed_by_server = false; // it ended or reset the connection
 };
 
 struct http_call
