Do not complete a stream that ends inside an event

Cause: gateway::on_call_done() sent the bytes behind the last whole event on as one more chunk and took the answer for complete. The caller got a stream that ended in the middle of an event and looked whole, and no other runner was asked for the rest.

Change: an event stream whose last event is open counts as a connection closed by the endpoint; line ends behind the last event are no event. The stream then continues at another runner, or is cut off.

Tests, with real processes and a runner that sends given bytes: "a stream that ends inside an event continues at another runner", "... at its last attempt does not look complete" failed before, and pass now.

--- a/src/codec/event_stream.cpp
+++ b/src/codec/event_stream.cpp
@@ -31,4 +31,9 @@
     return out;
 }
 
+bool holds_event(event_splitter const& s)
+{
+    return s.held.find_first_not_of("\r\n") != s.held.npos;
+}
+
 } // namespace papayahook::codec
--- a/src/codec/event_stream.hpp
+++ b/src/codec/event_stream.hpp
@@ -25,4 +25,7 @@
 std::vector<stream_event> split_events(event_splitter& s,
                                        std::string_view data);
 
+// Returns whether the stream has begun an event that is not complete.
+bool holds_event(event_splitter const& s);
+
 } // namespace papayahook::codec
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -136,6 +136,14 @@
                                     result.closed_by_server, result.status});
         return;
     }
+    if (r.streams && codec::holds_event(r.events)) {
+        core::call_failed cut{call, core::step::receive, true,
+                              "the stream ended inside an event"};
+        cut.closed_by_endpoint = true;
+        cut.status = result.status;
+        handle(n, cut);
+        return;
+    }
     if (!r.head_reported)
         handle(n, r.head);
     // Answers that are not streamed are sent whole or not at all.
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -4,6 +4,7 @@
 #include "support/client.hpp"
 #include "support/fleet.hpp"
 #include "support/platform_fake.hpp"
+#include "support/raw_runners.hpp"
 
 #include <catch2/catch.hpp>
 #include <cmath>
@@ -24,8 +25,10 @@
 {"name":"r","host":"h","path_prefix":"/p/","route_type":"idempotent",
  "timeout_ms":3000,"service":"app","attempts":1},
 {"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
- "timeout_ms":3000,"service":"app","attempts":1}],
-"services":[{"name":"app","health_path":"/health"}],
+ "timeout_ms":3000,"service":"app","attempts":1},
+{"name":"raw","host":"h","path_prefix":"/raw/","route_type":"streaming",
+ "resumable":true,"timeout_ms":3000,"service":"raw","attempts":2}],
+"services":[{"name":"app","health_path":"/health"},{"name":"raw"}],
 "tenants":[{"name":"acme","api_keys":["k1"]}]})";
 
 struct platform_node
@@ -186,6 +189,103 @@
     CHECK(runs("v1") == before);
 }
 
+namespace {
+
+// The first part of a stream and an event that the runner does not complete.
+constexpr char const* broken_stream =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Request-Id: {id}\r\nResponse-Seal: one\r\n\r\n"
+    "id: 1\ndata: a\n\nid: 2\nda<close>";
+
+// Sends a request for a stream to runners that give these answers.
+call_outcome call_raw(std::vector<std::string> const& answers)
+{
+    small_platform p;
+    raw_runners raw(p.fake, "raw", {"i-8", "i-9"}, answers);
+    std::this_thread::sleep_for(500ms); // until the entries are read
+    auto const out = run_call(request(p.nodes[0], "/raw/x", "id-1"));
+    CHECK(raw.requests() == static_cast<int>(answers.size()));
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a stream that ends inside an event continues at another runner")
+{
+    auto const it = call_raw(
+        {broken_stream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                        "Request-Id: {id}\r\nResponse-Seal: two\r\n\r\n"
+                        "id: 2\ndata: b\n\nid: 3\ndata: c\n\n<close>"});
+    CHECK_FALSE(it.broken);
+    CHECK(it.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+TEST_CASE("a stream that ends inside an event at its last attempt does not "
+          "look complete")
+{
+    auto const it = call_raw({broken_stream, broken_stream});
+    CHECK(it.broken);
+    // The second runner sends the events again that the caller has.
+    CHECK(it.body.find("da\n") == std::string::npos);
+}
+
+TEST_CASE("a stream that broke off shows nothing of the error of the next "
+          "runner")
+{
+    auto const* const error = GENERATE(
+        "HTTP/1.1 500 Oops\r\nRequest-Id: {id}\r\nContent-Length: 6\r\n\r\n"
+        "error\n",
+        "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n"
+        "Retry-After: 1\r\nContent-Length: 6\r\n\r\nerror\n",
+        "HTTP/1.1 500 Oops\r\nRequest-Id: {id}\r\n"
+        "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: error\n\n<close>",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Type: text/plain\r\n"
+        "Content-Length: 6\r\n\r\nerror\n",
+        "HTTP/1.1 504 Late\r\nRequest-Id: {id}\r\n\r\nerror\n<close>",
+        "error\r\n\r\n<close>", "<close>");
+    auto const it = call_raw({broken_stream, error});
+    CHECK(it.broken);
+    CHECK(it.status == 200);
+    CHECK(it.body == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("odd entries among those of the runners stop no node")
+{
+    constexpr std::size_t depth = 100'000;
+    std::string const deep =
+        R"({"service":"app","slots":)" + std::string(depth, '[');
+    auto const entry = [](std::string const& slots,
+                          std::string const& address) {
+        return R"({"service":"app","zone":"zone-a","state":"ready","born":1,)"
+               R"("slots":)" +
+               slots + R"(,"address":")" + address + R"("})";
+    };
+    small_platform p;
+    int n = 0;
+    for (auto const& odd :
+         {deep, deep + std::string(depth, ']') + "}",
+          entry("1e308", "127.0.0.1:1"), entry("1e400", "127.0.0.1:1"),
+          entry("99999999999999999999", "127.0.0.1:1"),
+          entry("4", "127.0.0.1:70000"), entry("4", "127.0.0.1:0"),
+          entry("4", "127.0.0.1:-1"), entry("4", "nowhere"), entry("4", "")})
+        p.fake.put(wire::endpoint_topic, "odd-" + std::to_string(n++), odd);
+    p.fake.put(wire::endpoint_topic, "odd\r\nX: \xff",
+               entry("4", "127.0.0.1:1"));
+    p.fake.add_runner({"i-2", "app", "v2"});
+    CHECK(eventually(5s, [&] {
+        run_call(request(p.nodes[0], "/p/x", "id-1"));
+        return p.fake.run_counts()["v2"] > 0;
+    }));
+    for (int i = 0; i < 20; ++i)
+        for (auto const& node : p.nodes)
+            CHECK(run_call(request(node, "/p/x", "id-1")).status == 200);
+    CHECK_FALSE(get(p.nodes[0].metrics, "/metrics").empty());
+    for (auto& node : p.nodes)
+        CHECK(read_file(node.log).find("event=207") != std::string::npos);
+    p.nodes.push_back(make_node("n3", p.fake, free_port()));
+    CHECK(eventually(5s, [&] { return is_ready(p.nodes.back()); }));
+}
+
 TEST_CASE("usage is reported to the cloud API with a fencing token")
 {
     small_platform p;
