--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -145,6 +145,25 @@
         CHECK_FALSE(decode_endpoint({5, "i-1", bad}, skipped).present);
         CHECK_FALSE(skipped.empty());
     }
+    for (auto const& [field, odd] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"\"slots\":64", "\"slots\":1e12"},
+             {"\"slots\":64", "\"slots\":2147483647"},
+             {"\"slots\":64", "\"slots\":18446744073709551615"},
+             {"\"born\":1768722342030", "\"born\":1e300"},
+             {":80", ":80000"},
+             {":80", ":0"},
+             {"10.1.0.9", "somewhere"}}) {
+        CAPTURE(odd);
+        auto entry = text("ready");
+        entry.replace(entry.find(field), field.size(), odd);
+        skipped.clear();
+        CHECK_FALSE(decode_endpoint({5, "i-1", entry}, skipped).present);
+        CHECK_FALSE(skipped.empty());
+    }
+    skipped.clear();
+    CHECK_FALSE(decode_endpoint({5, "i\r\n1", text("ready")}, skipped).present);
+    CHECK_FALSE(skipped.empty());
     skipped.clear();
     CHECK_FALSE(decode_endpoint({6, "i-1", ""}, skipped).present);
     CHECK(skipped.empty()); // deleted, not invalid
