Do not use a connection twice for calls with the same id

Report of another operator: a faulty runner wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" of requests that a runner had run, or such a request ran twice.

Here: an answer must bear the request's id, and a retry as well as every request that is not repeatable has a new connection. But a caller may send a repeatable request again under the id of its earlier one. Its call could use the connection on which the earlier one was refused, and the refusal written once more passed for its answer.

Change: a connection remembers (as hashes, 256 at most, then it is closed) the ids of its calls and is not used for a call with one of them. Idle connections that the call may not use stay in the list.

Test: "an answer that is written twice is not taken for the answer to a later call with the same id" failed before (one connection), and passes.

--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -25,6 +25,8 @@
 
 constexpr std::size_t receive_buffer_bytes = 8 * 1024;
 constexpr std::size_t max_idle_per_key = 8;
+// Calls after which a connection is not used again.
+constexpr std::size_t max_calls_per_connection = 256;
 // A server that sends more 1xx responses is assumed never to answer.
 constexpr int max_interim_responses = 16;
 constexpr int first_final_status = 200; // lower ones are interim responses
@@ -192,8 +194,16 @@
     std::size_t body_bytes = 0; // received bytes of the answer's body
     int interim_responses = 0;  // 1xx responses to the request
     clock::time_point usable_until{};
+    // Hashes of the echoed values of its calls. A server may repeat an earlier
+    // answer, which would pass for the answer to a call with the same value.
+    std::vector<std::size_t> echoed_values;
 };
 
+std::size_t echo_hash(http_call const& call)
+{
+    return std::hash<std::string>{}(call.echoed_header->second);
+}
+
 void close(connection& c)
 {
     if (!c.client)
@@ -280,7 +290,8 @@
 {
     if (c->writing || !c->complete || !c->call || !c->client)
         return;
-    bool const keep = http_should_keep_alive(&c->parser) != 0;
+    bool const keep = http_should_keep_alive(&c->parser) != 0 &&
+                      c->echoed_values.size() < max_calls_per_connection;
     auto const t = std::move(c->call);
     c->client->open.erase(t->id);
     c->timer.cancel();
@@ -476,6 +487,8 @@
     c->head_seen = false;
     c->writing = true;
     c->call->sent_any = true;
+    if (c->call->call.echoed_header)
+        c->echoed_values.push_back(echo_hash(c->call->call));
     auto const bytes =
         std::make_shared<std::string>(std::move(c->call->request_bytes));
     asio::async_write(c->socket, asio::buffer(*bytes),
@@ -530,28 +543,29 @@
     send(c);
 }
 
-// Takes the newest idle connection that has not expired; null if there is none.
-// Connections that the server has closed are no longer in the list.
-connection_ptr take_idle(http_client::impl& client, std::string const& key)
+// Takes the newest idle connection that the call may use; null if there is
+// none. Connections that the server has closed are no longer in the list, and
+// expired ones are closed by their timers.
+connection_ptr take_idle(http_client::impl& client, std::string const& key,
+                         http_call const& call)
 {
-    auto const it = client.idle.find(key);
-    if (it == client.idle.end())
+    auto const list = client.idle.find(key);
+    if (list == client.idle.end())
         return nullptr;
-    while (!it->second.empty()) {
-        auto c = it->second.front();
-        it->second.pop_front();
-        if (c->usable_until > clock::now()) {
-            if (it->second.empty())
-                client.idle.erase(it);
-            return c;
-        }
-        c->client.reset();
-        std::error_code ec;
-        c->timer.cancel(ec);
-        c->socket.close(ec);
-    }
-    client.idle.erase(it);
-    return nullptr;
+    auto const it = std::ranges::find_if(list->second, [&](auto const& c) {
+        bool const is_repeat =
+            call.echoed_header &&
+            std::ranges::find(c->echoed_values, echo_hash(call)) !=
+                c->echoed_values.end();
+        return !is_repeat && c->usable_until > clock::now();
+    });
+    if (it == list->second.end())
+        return nullptr;
+    auto out = *it;
+    list->second.erase(it);
+    if (list->second.empty())
+        client.idle.erase(list);
+    return out;
 }
 
 } // namespace
@@ -588,7 +602,8 @@
     }
     t->request_bytes = serialize_request(t->call, *to);
     auto const key = to->authority + "/" + t->call.connection_group;
-    auto c = t->call.fresh_connection ? nullptr : take_idle(*impl_, key);
+    auto c =
+        t->call.fresh_connection ? nullptr : take_idle(*impl_, key, t->call);
     if (c) {
         c->timer.cancel();
         c->call = std::move(t);
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -336,3 +336,23 @@
     CHECK(call(io, client, p.url()).body == "ok");
     CHECK(p.connections == 2);
 }
+
+TEST_CASE("an answer that is written twice is not taken for the answer to a "
+          "later call with the same id")
+{
+    asio::io_context io;
+    auto const refusal = [](std::string const& id) {
+        return "HTTP/1.1 503 Full\r\nRequest-Id: " + id +
+               "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    };
+    scripted_server server(
+        io, {refusal("a"),
+             "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n",
+             refusal("a")});
+    http_client client(io);
+    CHECK(call(io, client, server.url(), "a").result.status == 503);
+    CHECK(call(io, client, server.url(), "b").result.status == 200);
+    CHECK(server.connections == 1); // it was kept
+    call(io, client, server.url(), "a");
+    CHECK(server.connections == 2);
+}
