--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -184,9 +184,8 @@
 {
     auto const& p = s.parts.at(part);
     auto const n = count_ends(p);
-    bool const is_proven =
-        n >= ends_for_certainty ||
-        (n >= ends_for_quarantine && !is_ambiguous(s, part));
+    bool const is_proven = n >= ends_for_certainty ||
+                           (n >= ends_for_quarantine && !is_ambiguous(s, part));
     if (p.quarantined || !is_proven)
         return;
     flood_part(s, {part, part_status::quarantined, 0, p.probes}, out);
