Count ends under the attempts of one request as separate evidence

What callers would see: one request with an ending prompt ended as many runners as its route allows attempts, and all of these counted once, because they came within 250 ms. Found while a process test was written: six runners, five of them ended before the prompt was refused.

Cause: ends within 250 ms may share a cause (a reclaimed zone, a lost link) and counted once. But a call that began after the end of another endpoint reached a live endpoint, which then ended as well.

Change: such an end counts, at the node that saw it and, by a field of the news, at the others. Ends at the same instant still count once.

--- a/fakes/common.hpp
+++ b/fakes/common.hpp
@@ -28,6 +28,8 @@
     std::chrono::milliseconds first_token{20};
     std::chrono::microseconds token_gap{10'000};
     std::chrono::microseconds prefill_per_token{100};
+    // The process exits when it begins to answer a prompt with this text.
+    std::string crash_on;
 };
 
 struct orders_options
--- a/fakes/main.cpp
+++ b/fakes/main.cpp
@@ -68,6 +68,8 @@
         cxxopts::value<int>()->default_value("10000"))(
         "prefill-us", "time per uncached token",
         cxxopts::value<int>()->default_value("100"))(
+        "crash-on", "exit on a prompt with this text",
+        cxxopts::value<std::string>()->default_value(""))(
         "work-ms", "time of one order",
         cxxopts::value<int>()->default_value("5"))(
         "retention", "entries kept per stream",
@@ -89,7 +91,8 @@
                  args["slots"].as<int>(),
                  std::chrono::milliseconds(args["first-token-ms"].as<int>()),
                  std::chrono::microseconds(args["gap-us"].as<int>()),
-                 std::chrono::microseconds(args["prefill-us"].as<int>())});
+                 std::chrono::microseconds(args["prefill-us"].as<int>()),
+                 args["crash-on"].as<std::string>()});
         else if (kind == "orders")
             run_orders(io, {listen, std::chrono::milliseconds(
                                         args["work-ms"].as<int>())});
--- a/fakes/runner.cpp
+++ b/fakes/runner.cpp
@@ -27,6 +27,7 @@
     std::uint64_t next = 0;
     std::uint64_t end = 0;
     int uncached = 0;
+    bool crashes = false; // see runner_options::crash_on
     responder_ptr out;
     bool gone = false;
 };
@@ -132,6 +133,8 @@
     if (m.silent_after >= 0 &&
         g->next >= static_cast<std::uint64_t>(m.silent_after))
         return; // keeps its slot and sends nothing
+    if (g->crashes)
+        std::_Exit(1);
     if (m.die_after >= 0 && g->next >= static_cast<std::uint64_t>(m.die_after))
         std::_Exit(1);
     json const line{
@@ -196,7 +199,10 @@
     g->next = resumed;
     g->end =
         static_cast<std::uint64_t>(body.value("max_tokens", default_tokens));
-    g->uncached = prefill(m, prompt_of(body)) + static_cast<int>(resumed);
+    auto const prompt = prompt_of(body);
+    g->uncached = prefill(m, prompt) + static_cast<int>(resumed);
+    auto const& mark = m.options.crash_on;
+    g->crashes = !mark.empty() && prompt.find(mark) != prompt.npos;
     m.prefilled += static_cast<std::uint64_t>(g->uncached);
     g->out = out;
     headers.emplace_back("Content-Type", "text/event-stream");
--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -488,6 +488,9 @@
     std::uint64_t part = 0; // see request_arrived::shared_parts
     part_status status = part_status::suspected;
     std::uint64_t incarnation = 0; // suspected: hash of the one that ended
+    // Suspected: the call began after another endpoint had ended under the
+    // part.
+    bool independent = false;
     int probes = 0; // quarantined: requests sent nevertheless so far
 };
 
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -239,7 +239,7 @@
 PAPAYAHOOK_JSON(version_counts, answers, failed, slow)
 PAPAYAHOOK_JSON(move_counts, move, node, incarnation, started, stage, from, to)
 PAPAYAHOOK_JSON(successor_news, node, incarnation, successor)
-PAPAYAHOOK_JSON(part_news, part, status, incarnation, probes)
+PAPAYAHOOK_JSON(part_news, part, status, incarnation, independent, probes)
 PAPAYAHOOK_JSON(news, leaving, vetoes, members, counts, successors, endpoints,
                 parts)
 PAPAYAHOOK_JSON(pool_moves, moves)
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -24,7 +24,8 @@
 // Ended incarnations after which it is quarantined in any case.
 constexpr std::ptrdiff_t ends_for_certainty = 5;
 // Endpoints that end within this time may share a cause, such as a reclaimed
-// zone or a lost link, and count once.
+// zone or a lost link, and count once, unless the call to the later one began
+// after the end of the other.
 constexpr auto common_cause_time = 250ms;
 // An endpoint that has been answering for this time is not ended by the prompt.
 constexpr auto harmless_after = 1s;
@@ -188,7 +189,7 @@
                            (n >= ends_for_quarantine && !is_ambiguous(s, part));
     if (p.quarantined || !is_proven)
         return;
-    flood_part(s, {part, part_status::quarantined, 0, p.probes}, out);
+    flood_part(s, {part, part_status::quarantined, 0, false, p.probes}, out);
     quarantine(s, part,
                std::to_string(n) + " endpoints ended under it, none answered",
                out);
@@ -196,12 +197,12 @@
 
 // Returns whether the end was not known.
 bool add_end(node_state& s, std::uint64_t part, std::uint64_t incarnation,
-             std::string const& source, effects& out)
+             bool independent, std::string const& source, effects& out)
 {
     auto& p = state_of(s, part);
     if (has_end(p, incarnation) || p.ends.size() >= max_ends_per_part)
         return false;
-    bool const counts = s.now >= p.ended_at + common_cause_time;
+    bool const counts = independent || s.now >= p.ended_at + common_cause_time;
     p.ends.push_back({incarnation, counts});
     if (counts)
         p.ended_at = s.now;
@@ -250,7 +251,7 @@
     set_next_probe(s, p);
     emit_log_event(out, events::part_probed, part_text(part), r.request.id,
                    "probe " + std::to_string(p.probes));
-    flood_part(s, {part, part_status::quarantined, 0, p.probes}, out);
+    flood_part(s, {part, part_status::quarantined, 0, false, p.probes}, out);
 }
 
 bool is_quarantined(node_state const& s, std::uint64_t part)
@@ -292,7 +293,7 @@
         refute(s, e.part, out);
         return false;
     }
-    if (!add_end(s, e.part, e.incarnation, source, out))
+    if (!add_end(s, e.part, e.incarnation, e.independent, source, out))
         return false;
     quarantine_if_proven(s, e.part, out);
     return true;
@@ -338,10 +339,15 @@
         return;
     auto const incarnation = hash_of(r.endpoint + "/" + r.incarnation);
     for (auto const part : r.request.shared_parts) {
-        if (is_cleared(s, state_of(s, part)) ||
-            !add_end(s, part, incarnation, r.endpoint, out))
+        auto const& p = state_of(s, part);
+        bool const independent = !p.ends.empty() &&
+                                 r.call_started >= p.ended_at &&
+                                 s.now > r.call_started;
+        if (is_cleared(s, p) ||
+            !add_end(s, part, incarnation, independent, r.endpoint, out))
             continue;
-        flood_part(s, {part, part_status::suspected, incarnation}, out);
+        flood_part(s, {part, part_status::suspected, incarnation, independent},
+                   out);
         quarantine_if_proven(s, part, out);
     }
 }
@@ -389,7 +395,7 @@
     std::vector<part_news> out;
     for (auto const& [part, p] : s.parts)
         if (p.quarantined)
-            out.push_back({part, part_status::quarantined, 0, p.probes});
+            out.push_back({part, part_status::quarantined, 0, false, p.probes});
     return out;
 }
 
@@ -408,7 +414,8 @@
         if (!is_due)
             continue;
         p.announced_at = s.now;
-        item.parts.push_back({part, part_status::quarantined, 0, p.probes});
+        item.parts.push_back(
+            {part, part_status::quarantined, 0, false, p.probes});
     }
     flood_news(s, item, 0, out);
 }
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -571,3 +571,30 @@
     CHECK(first_replay.find("\"type\":\"finish_answer\"") != first_replay.npos);
     CHECK(first_replay.find(got.request_id + "#4 ") != first_replay.npos);
 }
+
+TEST_CASE("a prompt that ends the runners that answer it is refused at all "
+          "nodes after three of them")
+{
+    fleet_options o;
+    o.runners = 6;
+    o.crash_on = "boom";
+    auto f = start_fleet(o);
+    auto const ask = [&](std::size_t node) {
+        return run_call(completion(f.node(node).caller, test_key, "chat",
+                                   "please boom now", 5, true));
+    };
+    auto const runners_left = [&] {
+        return std::ranges::count_if(f.endpoints, [](auto const& it) {
+            return it.first.starts_with("r") && it.second->runs();
+        });
+    };
+    for (std::size_t n = 0; n < 6; ++n)
+        CHECK(ask(n % f.nodes.size()).status != 200);
+    for (std::size_t n = 0; n < f.nodes.size(); ++n) {
+        auto const it = ask(n);
+        CHECK(it.status == 422);
+        CHECK(it.outcome == "not_run");
+        CHECK(stream_fault(run_call(chat_call(f, n, 5)), 5) == "");
+    }
+    CHECK(runners_left() == 3);
+}
--- a/test/quarantine_test.cpp
+++ b/test/quarantine_test.cpp
@@ -110,6 +110,19 @@
     }
 }
 
+TEST_CASE("the attempts of one request end at most three runners")
+{
+    auto s = make_runner_site(node_count, runner_count, 1, 6);
+    s.ending_parts = {ending_part};
+    auto const id = ask(s, 0, {ending_part});
+    run(s, 3s);
+    CHECK(s.ends.size() <= 3);
+    CHECK(quarantines(s, ending_part) == node_count);
+    REQUIRE(asked(s, id).refused);
+    CHECK(asked(s, id).refused->known_outcome ==
+          core::outcome::outcome_unknown);
+}
+
 TEST_CASE("no part is quarantined when runners end for other reasons")
 {
     constexpr unsigned documents = 200;
--- a/test/support/fleet.hpp
+++ b/test/support/fleet.hpp
@@ -48,6 +48,7 @@
     std::string timeouts; // lines of the [timeouts] section
     std::string limits;   // lines of the [limits] section
     std::string routes;   // TOML of additional records
+    std::string crash_on; // runners exit on prompts with this text
     std::size_t retention = 1'000'000;
     bool log_runs = true;
 };
--- a/test/support/runners.cpp
+++ b/test/support/runners.cpp
@@ -37,7 +37,7 @@
     return out;
 }
 
-core::config_snapshot chat_configuration()
+core::config_snapshot chat_configuration(int max_attempts)
 {
     core::config_snapshot out;
     out.applied = 1;
@@ -51,7 +51,7 @@
     chat.pool = "lm";
     chat.resumable = true;
     chat.streams = true;
-    chat.max_attempts = 2;
+    chat.max_attempts = max_attempts;
     chat.deadline = 4s;
     chat.deadline_covers_body = true;
     out.routes.push_back({chat, 1});
@@ -163,7 +163,7 @@
 } // namespace
 
 runner_site make_runner_site(std::size_t nodes, std::size_t runners,
-                             unsigned seed)
+                             unsigned seed, int max_attempts)
 {
     runner_site s;
     s.random.seed(seed);
@@ -172,7 +172,7 @@
         s.runners["r" + std::to_string(i)] = {};
     run(s.f, 2s); // until all nodes are linked
     for (std::size_t i = 0; i < nodes; ++i)
-        give(s.f, i, core::config_published{chat_configuration()});
+        give(s.f, i, core::config_published{chat_configuration(max_attempts)});
     for (auto const& [name, it] : s.runners)
         list_runner(s, name);
     carry_out(s);
--- a/test/support/runners.hpp
+++ b/test/support/runners.hpp
@@ -50,7 +50,7 @@
 
 // Makes linked nodes with runners "r0", "r1", ... of one pool.
 runner_site make_runner_site(std::size_t nodes, std::size_t runners,
-                             unsigned seed = 1);
+                             unsigned seed = 1, int max_attempts = 2);
 
 // Sends a request of route "chat". The prompt has these parts and one of its
 // own.
