Count a broken call only if its endpoint has ended

What callers would see: sound requests with one document refused as "endpoints end when they answer prompts with part ...".

Its log: a request is reset by one runner after 7 ms and by the next after 4 ms, another request at another node by two more, all with status 0; the runners go on. A runner resets connections beyond those that it accepts, so a reset is no sign of an end.

Change: when an endpoint closes the connection of a call whose prompt has a part that is not cleared, the node opens a connection to it without a request, once for each incarnation (effect check_endpoint, event endpoint_checked). Only if the address refuses connections, or the incarnation is no longer listed, are the parts put under suspicion, with the time at which the call broke off.

Ruled out: taking a broken call with status 0 for a reset; the request that ends a runner may get no head either.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -491,6 +491,7 @@
     // Suspected: the call began after another endpoint had ended under the
     // part.
     bool independent = false;
+    std::chrono::milliseconds age{0}; // suspected: time since the end
     int probes = 0; // quarantined: requests sent nevertheless so far
 };
 
@@ -871,6 +872,14 @@
     bool ok = false;
 };
 
+// Result of check_endpoint.
+struct endpoint_checked
+{
+    std::string endpoint;
+    std::string incarnation;
+    bool refuses = false; // its address refuses connections
+};
+
 // An operator's order to move a pool to a version.
 struct pool_move_ordered
 {
@@ -910,8 +919,8 @@
                  peer_closed, endpoint_report, instance_list, relay_ended,
                  config_published, endpoints_listed, nodes_listed, dial_failed,
                  duties_read, duty_append_done, usage_reported,
-                 endpoints_ordered, pool_move_ordered, pool_move_reported,
-                 settings_changed, shutdown_requested, tick>
+                 endpoints_ordered, endpoint_checked, pool_move_ordered,
+                 pool_move_reported, settings_changed, shutdown_requested, tick>
         body;
 };
 
@@ -1052,6 +1061,15 @@
     pool_move move;
 };
 
+// Finds out whether the endpoint's address accepts connections. No request is
+// sent. Answered by endpoint_checked.
+struct check_endpoint
+{
+    std::string endpoint;
+    std::string incarnation;
+    std::string address;
+};
+
 // A numbered event for the log; docs/EVENTS.md lists them.
 struct log_event
 {
@@ -1076,7 +1094,7 @@
                  send_head, send_chunk, finish_answer, fail_answer, relay,
                  append, send_peer, close_peer, dial_peer, follow_store,
                  append_duty, report_usage, order_endpoints, report_pool_move,
-                 log_event, wake, exit_process>;
+                 check_endpoint, log_event, wake, exit_process>;
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
@@ -1168,6 +1186,22 @@
     bool counts = false;           // false: others ended at the same time
 };
 
+// A call that its endpoint broke off.
+struct broken_call
+{
+    std::vector<std::uint64_t> parts; // that the prompt shares
+    time_point started{};
+    time_point broken{};
+};
+
+// Calls that an incarnation broke off, until it is known whether it has ended.
+struct endpoint_suspicion
+{
+    std::string endpoint;
+    std::vector<broken_call> calls;
+    time_point since{};
+};
+
 // What is known of a part that several prompts have.
 struct part_state
 {
@@ -1513,6 +1547,8 @@
     // By identity; see request_arrived::shared_parts. Bounded.
     std::unordered_map<std::uint64_t, part_state> parts;
     time_point parts_maintained_at{};
+    // By the hash of the endpoint's name and incarnation. Bounded.
+    std::map<std::uint64_t, endpoint_suspicion> endpoint_suspicions;
     // Reasons, by move and the offset of its own record or order.
     std::map<std::pair<std::string, offset>, std::string> vetoes;
     std::deque<successor_news> successors; // newest last, bounded
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -109,8 +109,10 @@
 // Refuses a request that may not be sent to an endpoint and returns whether it
 // did. A request that may be sent probes the quarantined parts that it has.
 bool refuse_if_quarantined(node_state& s, request_state& r, effects& out);
-// Handles the end of an endpoint during the request's open call.
-void suspect_parts(node_state& s, request_state const& r, effects& out);
+// Handles an open call that the endpoint broke off.
+void suspect_endpoint(node_state& s, request_state const& r, effects& out);
+void on_endpoint_checked(node_state& s, endpoint_checked const& e,
+                         effects& out);
 // Handles a whole answer, or each chunk of one.
 void clear_parts(node_state& s, request_state const& r, effects& out);
 void clear_parts_if_harmless(node_state& s, request_state const& r,
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -1,12 +1,13 @@
 // Quarantine of prompt parts that end the endpoints that answer them.
 //
-// A call that breaks off because its endpoint closed the connection puts the
-// shared parts of its prompt under suspicion, once for each incarnation of an
-// endpoint. An answer to any prompt with the part clears it: a part that ends
-// endpoints ends each one. A part that stays under suspicion at several
-// incarnations is quarantined: no request with it is sent to an endpoint.
-// Suspicions, quarantines and clearances are flooded, because each node sees
-// only its own calls.
+// When an endpoint closes the connection of a call, the node checks whether the
+// endpoint still accepts connections: one that is merely full, or restarts a
+// connection, does. If it has ended, the shared parts of the prompt come under
+// suspicion, once for each incarnation of an endpoint. An answer to any prompt
+// with the part clears it: a part that ends endpoints ends each one. A part
+// that stays under suspicion at several incarnations is quarantined: no request
+// with it is sent to an endpoint. Suspicions, quarantines and clearances are
+// flooded, because each node sees only its own calls.
 #include "core/internal.hpp"
 
 #include <algorithm>
@@ -42,6 +43,9 @@
 constexpr auto maintenance_period = 1s;
 constexpr std::size_t max_known_parts = 4096;
 constexpr std::size_t max_ends_per_part = 16;
+constexpr std::size_t max_suspicions = 256;
+// Time after which an endpoint whose check has no result is taken for alive.
+constexpr auto check_timeout = 5s;
 
 std::ptrdiff_t count_ends(part_state const& p)
 {
@@ -92,6 +96,21 @@
     flood_news(s, item, 0, out);
 }
 
+part_news quarantine_news(std::uint64_t part, part_state const& p)
+{
+    part_news out;
+    out.part = part;
+    out.status = part_status::quarantined;
+    out.probes = p.probes;
+    return out;
+}
+
+std::uint64_t incarnation_key(std::string const& endpoint,
+                              std::string const& incarnation)
+{
+    return hash_of(endpoint + "/" + incarnation);
+}
+
 bool contains_part(request_state const& r, std::uint64_t part)
 {
     auto const& parts = r.request.shared_parts;
@@ -189,23 +208,26 @@
                            (n >= ends_for_quarantine && !is_ambiguous(s, part));
     if (p.quarantined || !is_proven)
         return;
-    flood_part(s, {part, part_status::quarantined, 0, false, p.probes}, out);
+    flood_part(s, quarantine_news(part, p), out);
     quarantine(s, part,
                std::to_string(n) + " endpoints ended under it, none answered",
                out);
 }
 
-// Returns whether the end was not known.
+// Returns whether the end was not known. `ended`: when it came.
 bool add_end(node_state& s, std::uint64_t part, std::uint64_t incarnation,
-             bool independent, std::string const& source, effects& out)
+             time_point ended, bool independent, std::string const& source,
+             effects& out)
 {
     auto& p = state_of(s, part);
     if (has_end(p, incarnation) || p.ends.size() >= max_ends_per_part)
         return false;
-    bool const counts = independent || s.now >= p.ended_at + common_cause_time;
+    auto const distance =
+        ended > p.ended_at ? ended - p.ended_at : p.ended_at - ended;
+    bool const counts = independent || distance >= common_cause_time;
     p.ends.push_back({incarnation, counts});
     if (counts)
-        p.ended_at = s.now;
+        p.ended_at = std::max(p.ended_at, ended);
     emit_log_event(out, events::part_suspected, part_text(part), source,
                    "ends that count: " + std::to_string(count_ends(p)));
     return true;
@@ -251,7 +273,7 @@
     set_next_probe(s, p);
     emit_log_event(out, events::part_probed, part_text(part), r.request.id,
                    "probe " + std::to_string(p.probes));
-    flood_part(s, {part, part_status::quarantined, 0, false, p.probes}, out);
+    flood_part(s, quarantine_news(part, p), out);
 }
 
 bool is_quarantined(node_state const& s, std::uint64_t part)
@@ -293,7 +315,8 @@
         refute(s, e.part, out);
         return false;
     }
-    if (!add_end(s, e.part, e.incarnation, e.independent, source, out))
+    if (!add_end(s, e.part, e.incarnation, s.now - duration(e.age),
+                 e.independent, source, out))
         return false;
     quarantine_if_proven(s, e.part, out);
     return true;
@@ -326,7 +349,7 @@
     return false;
 }
 
-void suspect_parts(node_state& s, request_state const& r, effects& out)
+void suspect_endpoint(node_state& s, request_state const& r, effects& out)
 {
 #if PAPAYAHOOK_MUTATION_NO_QUARANTINE
     return;
@@ -334,25 +357,59 @@
     bool const is_harmless =
         r.answering_since != time_point{} &&
         s.now >= r.answering_since + duration(harmless_after);
+    bool const has_suspect =
+        std::ranges::any_of(r.request.shared_parts, [&](auto part) {
+            return !is_cleared(s, state_of(s, part));
+        });
     auto const e = s.config.endpoints.find(r.endpoint);
     // An endpoint that leaves ends anyway.
     bool const leaves =
         e != s.config.endpoints.end() && is_leaving(s, e->second.value);
-    if (is_harmless || leaves)
+    if (is_harmless || !has_suspect || leaves)
         return;
-    auto const incarnation = hash_of(r.endpoint + "/" + r.incarnation);
-    for (auto const part : r.request.shared_parts) {
-        auto const& p = state_of(s, part);
-        bool const independent = !p.ends.empty() &&
-                                 r.call_started >= p.ended_at &&
-                                 s.now > r.call_started;
-        if (is_cleared(s, p) ||
-            !add_end(s, part, incarnation, independent, r.endpoint, out))
-            continue;
-        flood_part(s, {part, part_status::suspected, incarnation, independent},
-                   out);
-        quarantine_if_proven(s, part, out);
-    }
+    auto const key = incarnation_key(r.endpoint, r.incarnation);
+    bool const is_full = s.endpoint_suspicions.size() >= max_suspicions;
+    if (is_full && !s.endpoint_suspicions.contains(key))
+        return;
+    auto& suspicion = s.endpoint_suspicions[key];
+    suspicion.calls.push_back({r.request.shared_parts, r.call_started, s.now});
+    if (suspicion.since != time_point{})
+        return; // the check is under way
+    suspicion.endpoint = r.endpoint;
+    suspicion.since = s.now;
+    bool const is_current = e != s.config.endpoints.end() &&
+                            e->second.value.incarnation == r.incarnation;
+    if (is_current)
+        out.push_back(
+            check_endpoint{r.endpoint, r.incarnation, e->second.value.address});
+    else
+        on_endpoint_checked(s, {r.endpoint, r.incarnation, true}, out);
+}
+
+void on_endpoint_checked(node_state& s, endpoint_checked const& e, effects& out)
+{
+    auto const key = incarnation_key(e.endpoint, e.incarnation);
+    auto const node = s.endpoint_suspicions.extract(key);
+    if (node.empty() || !e.refuses)
+        return;
+    for (auto const& call : node.mapped().calls)
+        for (auto const part : call.parts) {
+            auto const& p = state_of(s, part);
+            bool const independent = !p.ends.empty() &&
+                                     call.started >= p.ended_at &&
+                                     call.broken > call.started;
+            bool const is_news =
+                !is_cleared(s, p) && add_end(s, part, key, call.broken,
+                                             independent, e.endpoint, out);
+            if (!is_news)
+                continue;
+            auto const age =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    s.now - call.broken);
+            flood_part(s, {part, part_status::suspected, key, independent, age},
+                       out);
+            quarantine_if_proven(s, part, out);
+        }
 }
 
 void clear_parts(node_state& s, request_state const& r, effects& out)
@@ -398,7 +455,7 @@
     std::vector<part_news> out;
     for (auto const& [part, p] : s.parts)
         if (p.quarantined)
-            out.push_back({part, part_status::quarantined, 0, false, p.probes});
+            out.push_back(quarantine_news(part, p));
     return out;
 }
 
@@ -410,6 +467,9 @@
     std::erase_if(s.parts, [&](auto const& it) {
         return last_known_at(it.second) + part_retention <= s.now;
     });
+    std::erase_if(s.endpoint_suspicions, [&](auto const& it) {
+        return it.second.since + check_timeout <= s.now;
+    });
     news item;
     for (auto& [part, p] : s.parts) {
         bool const is_due = p.quarantined && p.requested_at > p.announced_at &&
@@ -417,8 +477,7 @@
         if (!is_due)
             continue;
         p.announced_at = s.now;
-        item.parts.push_back(
-            {part, part_status::quarantined, 0, false, p.probes});
+        item.parts.push_back(quarantine_news(part, p));
     }
     flood_news(s, item, 0, out);
 }
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -189,6 +189,9 @@
             [&](endpoints_ordered const& it) {
                 on_endpoints_ordered(s, it, out);
             },
+            [&](endpoint_checked const& it) {
+                on_endpoint_checked(s, it, out);
+            },
             [&](usage_reported const& it) { on_usage_reported(s, it, out); },
             [&](pool_move_ordered const& it) {
                 on_pool_move_ordered(s, it, out);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -424,7 +424,7 @@
     if (e.closed_by_endpoint && !r->request.shared_parts.empty()) {
         emit_log_event(out, events::call_broken_off, r->request.id, r->endpoint,
                        describe_broken_call(s, *r, e));
-        suspect_parts(s, *r, out);
+        suspect_endpoint(s, *r, out);
         if (r->call != e.call)
             return; // refused with the parts that are quarantined now
     }
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <asio/ip/tcp.hpp>
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -229,6 +230,29 @@
         n.client.resume(found->second.transfer);
 }
 
+void perform(node& n, core::check_endpoint const& it)
+{
+    struct attempt
+    {
+        asio::ip::tcp::socket socket;
+        asio::steady_timer timer;
+    };
+    auto const at = parse_address(it.address);
+    if (!at)
+        return;
+    auto const a = std::make_shared<attempt>(
+        attempt{asio::ip::tcp::socket(n.io),
+                asio::steady_timer(n.io, n.options.connect_timeout)});
+    a->timer.async_wait([a](auto) { a->socket.close(); });
+    a->socket.async_connect(
+        {asio::ip::make_address(at->ip), at->port}, [a, &n, it](auto ec) {
+            a->timer.cancel();
+            handle(n, core::endpoint_checked{
+                          it.endpoint, it.incarnation,
+                          ec == asio::error::connection_refused});
+        });
+}
+
 // Each node polls a few endpoints per second and starts at an endpoint chosen
 // by the hash of its name, so that all nodes together poll every endpoint often
 // at any fleet size.
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -158,6 +158,7 @@
 void perform(node& n, core::cancel_call const& it);
 void perform(node& n, core::pause_call const& it);
 void perform(node& n, core::resume_call const& it);
+void perform(node& n, core::check_endpoint const& it);
 void poll_endpoints(node& n);
 
 // platform_client.cpp
--- a/test/quarantine_test.cpp
+++ b/test/quarantine_test.cpp
@@ -158,6 +158,30 @@
     }
 }
 
+TEST_CASE("calls that runners break off without ending are no evidence against "
+          "a part")
+{
+    auto s = make_runner_site(node_count, runner_count);
+    for (std::size_t i = 0; i < 10; ++i) {
+        auto const id = ask(s, i % node_count, {9});
+        auto const call = [&] {
+            return std::ranges::find_if(
+                s.calls, [&](auto const& c) { return c.what.id == id; });
+        };
+        for (auto it = call(); it != s.calls.end(); it = call()) {
+            core::call_failed failed{it->what.call, core::step::receive, true,
+                                     "Connection reset by peer"};
+            failed.closed_by_endpoint = true;
+            s.calls.erase(it);
+            run(s, 50ms);
+            give(s.f, i % node_count, failed);
+            run(s, 50ms);
+        }
+        run(s, 500ms);
+    }
+    CHECK(quarantines(s, 9) == 0);
+}
+
 TEST_CASE("a request with a quarantined part is refused at once and truly")
 {
     auto s = make_runner_site(node_count, runner_count);
--- a/test/support/runners.cpp
+++ b/test/support/runners.cpp
@@ -86,6 +86,13 @@
                  core::call_failed{it.call, core::step::connect, false,
                                    "Connection refused"});
     }
+    void operator()(core::check_endpoint const& it)
+    {
+        give(s.f, node,
+             core::endpoint_checked{it.endpoint, it.incarnation,
+                                    s.runners.at(it.endpoint).back_at >
+                                        s.f.now});
+    }
     void operator()(core::cancel_call const& it)
     {
         std::erase_if(s.calls, [&](auto const& c) {
