--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -115,7 +115,8 @@
     int default_tokens = 1;     // tokens charged to a request that states none
 };
 
-// How many endpoints of a pool may be ordered, and what they cost.
+// How many endpoints of a pool may be ordered, and what they cost. Times and
+// costs are decoded and passed on, but not yet used by any decision.
 struct pool_scaling
 {
     int min_per_zone = 0; // per availability zone, reclaimable or not
@@ -128,9 +129,11 @@
 struct pool
 {
     std::string name;
-    std::string health_path;
-    int max_connections = 0;        // per endpoint, over all nodes; 0: no limit
-    std::int64_t memory_tokens = 0; // KV cache of a model runner, in tokens
+    std::string health_path; // not yet used
+    // Per endpoint, over all nodes; 0: no limit. Not yet used.
+    int max_connections = 0;
+    // KV cache of a model runner, in tokens. Not yet used.
+    std::int64_t memory_tokens = 0;
     std::optional<pool_scaling> scaling;
 };
 
@@ -150,7 +153,7 @@
     std::string version;                      // of the model or service
     std::vector<std::string> schema_versions; // empty: accepts any record
     int slots = 16;                           // calls that run concurrently
-    bool checks_fencing = false;              // rejects old fencing tokens
+    bool checks_fencing = false; // rejects old fencing tokens; not yet used
     std::string incarnation;  // differs for each instance at the same address
     bool reclaimable = false; // on an instance that may be reclaimed
 };
@@ -174,7 +177,7 @@
     bool streams = false;              // answers with server-sent events
     bool resumable = false; // a stream may continue at another endpoint
     int max_attempts = 0;   // calls per request; 0: node_settings decides
-    // Until the first byte; zero: none.
+    // Until the first byte; zero: none. Not yet used.
     std::chrono::milliseconds first_byte_target{};
     // False: jobs, and other requests that are not repeatable and already sent
     // or claimed, continue after their caller has disconnected.
