Quarantine a part only with a lead of two ends

What callers would see: sound requests with one document refused.

Cause: a node saw the third end under a document on its own call, before the news of the third end under the ending part, which was at the same ends, had arrived; so no other part was at as many.

Change: below five ends a part is quarantined only if every other part at one of its ends is at fewer of them by two. Evidence from the first seconds of a node then waits for one more end.

Test: the two cases that run over seeds have 100 of them; with ten none failed.

--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -19,8 +19,8 @@
 
 using namespace std::chrono_literals;
 
-// Ended incarnations after which a part is quarantined, if no other part was
-// at as many of them.
+// Ended incarnations after which a part is quarantined, if every other part was
+// at fewer of them by two.
 constexpr std::ptrdiff_t ends_for_quarantine = 3;
 // Ended incarnations after which it is quarantined in any case.
 constexpr std::ptrdiff_t ends_for_certainty = 5;
@@ -185,15 +185,16 @@
     refuse_requests_with(s, part, out);
 }
 
-// Whether another part was at as many of the same ends, so that it is open
-// which of the two is the cause.
+// Whether another part was at about as many of the same ends, so that it is
+// open which of the two is the cause: the news of one more end may be on its
+// way.
 bool is_ambiguous(node_state const& s, std::uint64_t part)
 {
     auto const& p = s.parts.at(part);
     auto const n = count_ends(p);
     return std::ranges::any_of(s.parts, [&](auto const& it) {
         auto const& [other, q] = it;
-        return other != part && !q.quarantined && count_ends(q) >= n &&
+        return other != part && !q.quarantined && count_ends(q) + 1 >= n &&
                std::ranges::any_of(q.ends, [&](auto const& end) {
                    return has_end(p, end.incarnation);
                });
--- a/test/quarantine_test.cpp
+++ b/test/quarantine_test.cpp
@@ -94,7 +94,7 @@
           "three more")
 {
     constexpr auto stable_window = 3s;
-    for (unsigned seed = 1; seed <= 10; ++seed) {
+    for (unsigned seed = 1; seed <= 100; ++seed) {
         CAPTURE(seed);
         auto s = make_runner_site(node_count, runner_count, seed);
         s.ending_parts = {ending_part};
@@ -139,7 +139,7 @@
 TEST_CASE("no part is quarantined when runners end for other reasons")
 {
     constexpr unsigned documents = 200;
-    for (unsigned seed = 1; seed <= 10; ++seed) {
+    for (unsigned seed = 1; seed <= 100; ++seed) {
         CAPTURE(seed);
         auto s = make_runner_site(node_count, runner_count, seed);
         for (auto t = 0ms; t < 60s; t += 50ms) {
