--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -51,6 +51,17 @@
         .ObserveMultiple(counts, seconds(it.sum).count());
 }
 
+void add_quarantine(prometheus::Registry& r, core::node_state const& s)
+{
+    counter(r, "papayahook_quarantines_total",
+            "Parts of prompts that were quarantined", s.counts.quarantines);
+    counter(r, "papayahook_quarantine_refusals_total",
+            "Requests refused because of a quarantined part",
+            s.counts.refused_quarantined);
+    gauge(r, "papayahook_quarantined_parts", "Parts that get no calls now",
+          static_cast<double>(core::quarantined_parts(s).size()));
+}
+
 } // namespace
 
 std::string metrics_text(core::node_state const& s, link_bytes links)
@@ -63,13 +74,7 @@
             n.refused_not_run, {{"outcome", "not_run"}});
     counter(r, "papayahook_refusals_total", "Requests without an answer",
             n.refused_unknown, {{"outcome", "outcome_unknown"}});
-    counter(r, "papayahook_quarantines_total",
-            "Parts of prompts that were quarantined", n.quarantines);
-    counter(r, "papayahook_quarantine_refusals_total",
-            "Requests refused because of a quarantined part",
-            n.refused_quarantined);
-    gauge(r, "papayahook_quarantined_parts", "Parts that get no calls now",
-          static_cast<double>(core::quarantined_parts(s).size()));
+    add_quarantine(r, s);
     counter(r, "papayahook_broken_answers_total",
             "Answers that ended in an error event", n.failed_answers);
     counter(r, "papayahook_dispatches_total", "Calls to endpoints",
