--- a/review/stage/stage.hpp
+++ b/review/stage/stage.hpp
@@ -532,16 +532,38 @@
 // Accepts every call of the duties.
 struct cloud_api
 {
+    struct call
+    {
+        std::int64_t at_ms = 0; // wall clock
+        std::string holder;
+        long fencing = 0;
+        std::string path;
+    };
     std::string ip;
     int port = 0;
+    std::mutex mutex;
+    std::vector<call> calls;
+
+    std::vector<call> all_calls()
+    {
+        std::scoped_lock const lock(mutex);
+        return calls;
+    }
+
     void open(std::string const& at)
     {
         ip = at;
         int const fd = listen_at(ip, port);
-        serve_connections(fd, [](int fd, message const& in) {
-            record("api      %s fencing %s %s", in.target().c_str(),
-                   value_of(in.headers, "Fencing-Token").c_str(),
-                   in.body.c_str());
+        serve_connections(fd, [this](int fd, message const& in) {
+            auto const holder = value_of(in.headers, "Duty-Holder");
+            auto const fencing = value_of(in.headers, "Fencing-Token");
+            record("api call %s of %s, fencing %s, %s", in.target().c_str(),
+                   holder.c_str(), fencing.c_str(), in.body.c_str());
+            {
+                std::scoped_lock const lock(mutex);
+                calls.push_back({wall_ms(), holder, std::atol(fencing.c_str()),
+                                 in.target()});
+            }
             return send_all(fd, answer_text(200, {}, ""));
         });
     }
