--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -14,7 +14,7 @@
 constexpr int dark_ms = 2'000;      // of the power loss
 constexpr int work_ms = 400;
 constexpr int machines = 6;
-constexpr int callers = 40;
+constexpr int callers = 80;
 
 // A runner in a process of its own. Notes the arrival of each request.
 int run_server(std::string const& ip, int port, std::string const& name,
@@ -80,6 +80,7 @@
         it.name = "i-7f3a91c" + std::to_string(n);
         it.ip = loopback(11 + n);
         it.service = "wuno96b";
+        it.slots = 32;
         it.arrivals = folder() + "/" + it.name;
         start(it);
         beating.push_back(&it);
