--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -8,6 +8,7 @@
 
 constexpr int pieces = 20;
 constexpr int pause_ms = 100;
+constexpr int runners = 4; // one of them is killed: a share of 0.25
 
 std::string piece(int n)
 {
@@ -96,20 +97,21 @@
     for (int n = 1; n <= pieces; ++n)
         whole += piece(n);
 
-    server_process servers[2];
-    servers[0].name = "i-7f3a91c2";
-    servers[1].name = "i-02d9e6b4";
-    for (int n = 0; n < 2; ++n) {
+    server_process servers[runners];
+    std::vector<server*> beating;
+    for (int n = 0; n < runners; ++n) {
+        servers[n].name = "i-7f3a91c" + std::to_string(n);
         servers[n].ip = loopback(11 + n);
         servers[n].service = "wuno96b";
         start(servers[n]);
+        beating.push_back(&servers[n]);
     }
     store s;
     s.open(loopback(1));
     cloud_api api;
     api.open(loopback(2));
     s.put("keyed.op", "config", configuration);
-    start_beats(s, {&servers[0], &servers[1]});
+    start_beats(s, beating);
     node nodes[2] = {{"front-1", loopback(21)}, {"front-2", loopback(22)}};
     std::vector<node*> const all{&nodes[0], &nodes[1]};
     auto const end_servers = [&] {
@@ -123,7 +125,7 @@
         finish(all, could_not_run);
     }
 
-    std::vector<outcome> outcomes(8);
+    std::vector<outcome> outcomes(16);
     std::vector<std::thread> clients;
     for (std::size_t n = 0; n < outcomes.size(); ++n)
         clients.emplace_back([&, n] {
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -10,11 +10,12 @@
 namespace {
 
 constexpr int drain_ms = 2'000;
-constexpr int served_on_ms = 2'700; // drain_ms "and a little longer"
+constexpr int served_on_ms = 3'200; // drain_ms "and a little longer"
 constexpr int dark_ms = 2'000;      // of the power loss
-constexpr int work_ms = 400;
+constexpr int work_ms = 250;
 constexpr int machines = 6;
-constexpr int callers = 80;
+constexpr int runners = 8; // one of them leaves: a share of 0.125
+constexpr int callers = 240;
 
 // A runner in a process of its own. Notes the arrival of each request.
 int run_server(std::string const& ip, int port, std::string const& name,
@@ -73,9 +74,9 @@
     if (argc == 6 && std::string(argv[1]) == "server")
         return run_server(argv[2], std::atoi(argv[3]), argv[4], argv[5]);
     start_ms();
-    server_process servers[3];
+    server_process servers[runners];
     std::vector<server*> beating;
-    for (int n = 0; n < 3; ++n) {
+    for (int n = 0; n < runners; ++n) {
         auto& it = servers[n];
         it.name = "i-7f3a91c" + std::to_string(n);
         it.ip = loopback(11 + n);
@@ -147,7 +148,7 @@
         clients.emplace_back([&, k] {
             int const n = calm[static_cast<std::size_t>(k) % calm.size()];
             for (int turn = 0; !done; ++turn) {
-                sleep_ms((37 * k + 61 * turn) % 200); // spread in time
+                sleep_ms((37 * k + 61 * turn) % 100); // spread in time
                 auto const id = new_id();
                 int const fd = connect_to(nodes[n].ip, node::front);
                 send_all(fd, request_text("POST", "ficu95.example",
