--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -300,6 +300,13 @@
     std::map<std::string, std::uint64_t> counts; // by organisation
 };
 
+// A holder of the lease that may have made calls a short time ago.
+struct recent_holder
+{
+    std::string holder;
+    std::chrono::milliseconds idle_for{}; // since its last possible call
+};
+
 // A record of the "duties" stream. Each record renews its writer's lease. An
 // intent is written before its call is made, so that a later holder of the
 // lease repeats the identical call.
@@ -313,6 +320,8 @@
     bool release = false;               // true: the holder gives up the lease
     std::optional<usage_report> intent; // report that is about to be sent
     std::optional<pool_move> move;      // order, new stage or end of a move
+    // Earlier holders, the writer's own instance included, as of the record.
+    std::vector<recent_holder> earlier_holders;
 };
 
 struct duty_entry
@@ -1391,6 +1400,8 @@
     offset stream_end = 0;        // offset of the next record of the stream
     duty_record newest_record;    // empty holder: no record yet
     time_point newest_read_at{};  // when this node read `newest_record`
+    // Last possible call of each recent holder, by instance.
+    std::map<std::string, time_point> last_calls;
     std::uint64_t fencing = 0;    // token of the own lease; 0: not held
     time_point held_until{};      // end of the own lease
     time_point last_append_at{};  // newest append; the own lease counts from it
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -148,8 +148,9 @@
 PAPAYAHOOK_JSON(endpoint_entry, at, name, present, draining, (value, "what"))
 PAPAYAHOOK_JSON(usage_report, window, counts)
 PAPAYAHOOK_JSON(pool_move, order, pool, to, deadline, stage, end, reason)
+PAPAYAHOOK_JSON(recent_holder, holder, idle_for)
 PAPAYAHOOK_JSON(duty_record, holder, incarnation, fencing, release, intent,
-                move)
+                move, earlier_holders)
 PAPAYAHOOK_JSON(duty_entry, at, record)
 
 // JSON text must be UTF-8, so other bodies are written as hexadecimal digits.
--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -7,6 +7,11 @@
 // wait longer, so that clocks need not be synchronised. The fencing token is
 // one more than the offset of the record that took the lease, because offsets
 // in this stream start at 0 and token 0 means that the lease is not held.
+//
+// The receiver of the calls may not see an instance act, then another one, then
+// the first one again within one lease. Records therefore name the instances
+// that held the lease a short time ago: the store retains only the newest
+// records, and a process that starts knows nothing of what its instance did.
 #include "core/internal.hpp"
 
 #include <algorithm>
@@ -46,6 +51,40 @@
     return time_point(duration(s.settings.usage_window) * (window + 1));
 }
 
+std::vector<recent_holder> earlier_holders(node_state const& s)
+{
+    std::vector<recent_holder> out;
+    for (auto const& [holder, last_call] : s.duties.last_calls)
+        if (s.now < last_call + duration(s.settings.lease))
+            out.push_back(
+                {holder, std::chrono::floor<std::chrono::milliseconds>(
+                             s.now - last_call)});
+    return out;
+}
+
+// Replaces what is known of holders by what the newest record states. Its
+// writer may act until it releases the lease or the lease ends.
+void learn_holders(node_state& s, duty_record const& it)
+{
+    auto& last_calls = s.duties.last_calls;
+    last_calls.clear();
+    for (auto const& [holder, idle_for] : it.earlier_holders)
+        last_calls[holder] = s.now - duration(idle_for);
+    last_calls[it.holder] =
+        it.release ? s.now : s.now + duration(s.settings.lease);
+}
+
+// Returns when this instance may act again if others have acted since it did.
+time_point end_of_own_pause(node_state const& s)
+{
+    auto const& d = s.duties;
+    auto const it = d.last_calls.find(s.settings.name);
+    bool const others_acted = d.newest_record.holder != s.settings.name;
+    return it != d.last_calls.end() && others_acted
+               ? it->second + duration(s.settings.lease)
+               : time_point{};
+}
+
 bool append(node_state& s, duty_record record, effects& out)
 {
     auto& d = s.duties;
@@ -56,6 +95,7 @@
     record.holder = s.settings.name;
     record.incarnation = s.settings.incarnation;
     record.fencing = d.fencing;
+    record.earlier_holders = earlier_holders(s);
     d.last_append_at = s.now;
     d.open_append_at = s.now;
     out.push_back(append_duty{d.stream_end, std::move(record)});
@@ -74,12 +114,12 @@
     if (!d.has_read_stream || s.leaving || !can_hold_lease(s))
         return;
     auto const rank = s.rank;
-    auto const free_at =
+    time_point const free_at =
         d.newest_record.holder.empty() || d.newest_record.release
             ? d.newest_read_at + rank * rank_delay
             : d.newest_read_at + fraction_of_lease(s, successor_fraction) +
                   rank * rank_delay;
-    if (s.now >= free_at)
+    if (s.now >= std::max(free_at, end_of_own_pause(s)))
         append(s, {}, out);
 }
 
@@ -167,6 +207,7 @@
     auto& d = s.duties;
     d.newest_record = e.record;
     d.newest_read_at = s.now;
+    learn_holders(s, e.record);
     if (e.record.move)
         learn_recorded_pool_move(s, *e.record.move, out);
     if (e.record.intent) {
--- a/test/duties_test.cpp
+++ b/test/duties_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
+#include <ranges>
 
 using namespace papayahook;
 using namespace papayahook::support;
@@ -94,14 +95,28 @@
     }
 }
 
+// The store retains the newest record of each key for a process that starts.
+std::vector<core::duty_entry> newest_of_each_key(duty_world const& w)
+{
+    std::map<bool, core::duty_entry> newest;
+    for (auto const& it : w.stream)
+        newest[it.record.intent.has_value()] = it;
+    std::vector<core::duty_entry> out;
+    std::ranges::copy(newest | std::views::values, std::back_inserter(out));
+    std::ranges::sort(out, {}, &core::duty_entry::at);
+    return out;
+}
+
 void read_stream(duty_world& w, std::size_t i)
 {
     core::duties_read read;
     read.end = w.stream.size();
     auto const known = w.node[i].duties.stream_end;
-    for (auto const& it : w.stream)
-        if (it.at >= known)
-            read.entries.push_back(it);
+    if (!w.node[i].duties.has_read_stream)
+        read.entries = newest_of_each_key(w);
+    else
+        std::ranges::copy_if(w.stream, std::back_inserter(read.entries),
+                             [&](auto const& it) { return it.at >= known; });
     if (!read.entries.empty() || !w.node[i].duties.has_read_stream)
         give(w, i, std::move(read));
 }
@@ -122,6 +137,24 @@
     }
 }
 
+// Replaces the process of a node by one that knows nothing.
+void restart(duty_world& w, std::size_t i)
+{
+    auto settings = w.node[i].settings;
+    settings.incarnation++;
+    w.node[i] = {};
+    w.node[i].settings = settings;
+}
+
+std::optional<std::size_t> holder(duty_world const& w)
+{
+    auto const it = std::ranges::find_if(
+        w.node, [](auto const& n) { return n.duties.fencing != 0; });
+    if (it == w.node.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(std::distance(w.node.begin(), it));
+}
+
 // Returns false for reports of nodes A, B, A within the lease, and for a
 // fencing token below one seen before.
 bool has_one_holder_at_a_time(duty_world const& w)
@@ -192,12 +225,8 @@
         auto w = make_duty_world(seed);
         run(w, 12s);
         for (int round = 0; round < 3; ++round) {
-            auto const holder = std::ranges::find_if(
-                w.node, [](auto& it) { return it.duties.fencing != 0; });
-            auto const i =
-                static_cast<std::size_t>(std::distance(w.node.begin(), holder));
-            if (i < nodes)
-                w.frozen_until[i] =
+            if (auto const i = holder(w))
+                w.frozen_until[*i] =
                     w.now + std::chrono::milliseconds(w.random() % 9'000);
             run(w, 15s);
         }
@@ -206,3 +235,36 @@
         CHECK(windows_reported(w) >= 8);
     }
 }
+
+// A process that starts knows from the stream alone whether its instance held
+// the lease a moment ago, and whether another one has held it since.
+TEST_CASE("an instance does not hold the lease again within its length after "
+          "another one held it")
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        INFO("seed " << seed);
+        auto w = make_duty_world(seed);
+        auto const random_time = [&](unsigned most_ms) {
+            return std::chrono::milliseconds(w.random() % most_ms);
+        };
+        run(w, 12s);
+        for (int round = 0; round < 12; ++round) {
+            auto const i = holder(w);
+            if (!i) {
+                run(w, 100ms);
+                continue;
+            }
+            // The process drains, is killed meanwhile, and starts anew.
+            if (w.random() % 4 != 0)
+                give(w, *i, core::shutdown_requested{});
+            run(w, random_time(1'000));
+            w.frozen_until[*i] = w.now + 100ms + random_time(400);
+            restart(w, *i);
+            run(w, random_time(1'500));
+        }
+        run(w, 15s);
+        CHECK(has_one_holder_at_a_time(w));
+        CHECK(reports_agree_per_window(w));
+        CHECK(windows_reported(w) >= 5);
+    }
+}
