--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -618,7 +618,10 @@
     int max_queue = 2000; // waiting requests per organisation and pool
     // Chunks buffered for a slow caller before its call is paused.
     std::size_t max_backlog = 256;
-    int max_attempts = 4;      // calls per request, if the route sets no limit
+    int max_attempts = 4; // calls per request, if the route sets no limit
+    // Plain services continue a stream after the last event that the caller
+    // has, as model runners do after the last token.
+    bool resumes_plain_streams = false;
     double retry_budget = 0.2; // retries per first call, per pool
     double retry_burst = 20;   // retries that may be made at once, per pool
     // Least number of nodes that share retry_burst, even when fewer are known;
@@ -743,12 +746,17 @@
     call_id call = 0;
     std::uint64_t index = 0;
     std::string data;
+    // False: the endpoint's stream has no position behind this chunk from which
+    // another endpoint could continue.
+    bool has_position = true;
 };
 
 struct answer_end
 {
     call_id call = 0;
-    std::uint64_t chunks = 0; // total; with fewer, the answer is truncated
+    // Total, with those that a resumed call began with; with fewer, the answer
+    // is truncated.
+    std::uint64_t chunks = 0;
     // False: only the end of the connection marks the end of the answer.
     bool framed = true;
 };
@@ -957,7 +965,8 @@
     std::string incarnation;  // of the endpoint
     std::string organisation; // of the caller
     priority_class klass = priority_class::chat;
-    std::vector<std::string> resume_chunks; // tokens of the answer so far
+    // The answer so far, which the endpoint continues; empty: it begins anew.
+    std::vector<std::string> resume_chunks;
     bool fresh_connection = false; // true: must not use a pooled connection
     std::chrono::milliseconds timeout{};
 };
@@ -1286,6 +1295,8 @@
     std::vector<std::pair<std::string, std::string>> headers;
     bool head_sent = false;
     bool first_chunk_seen = false;
+    bool endpoint_resumes = false; // its endpoint's kind continues streams
+    bool has_position = true;      // see answer_chunk::has_position
     bool paused = false;
     std::vector<std::string> chunks; // in order from 0
     // Chunks behind a gap, by index.
@@ -1402,10 +1413,10 @@
     time_point newest_read_at{};  // when this node read `newest_record`
     // Last possible call of each recent holder, by instance.
     std::map<std::string, time_point> last_calls;
-    std::uint64_t fencing = 0;    // token of the own lease; 0: not held
-    time_point held_until{};      // end of the own lease
-    time_point last_append_at{};  // newest append; the own lease counts from it
-    time_point open_append_at{};  // open append; time_point{}: none
+    std::uint64_t fencing = 0;   // token of the own lease; 0: not held
+    time_point held_until{};     // end of the own lease
+    time_point last_append_at{}; // newest append; the own lease counts from it
+    time_point open_append_at{}; // open append; time_point{}: none
     // Usage of this node and its subtree that was reported to the other hubs.
     usage_counts subtree_totals;
     usage_counts unpublished_usage; // usage of the same nodes, not yet reported
--- a/src/codec/event_stream.cpp
+++ b/src/codec/event_stream.cpp
@@ -17,13 +17,15 @@
         auto const end = lf < crlf ? lf + 2 : crlf + 4;
         stream_event it;
         it.bytes = s.held.substr(begin, end - begin);
-        for (auto line : split(it.bytes, '\n'))
+        for (auto line : split(it.bytes, '\n')) {
+            it.has_data = it.has_data || line.starts_with("data");
             if (line.starts_with("id:")) {
                 line = trim(line.substr(3));
                 if (!line.empty() && line.back() == '\r')
                     line.remove_suffix(1);
                 it.id = line;
             }
+        }
         out.push_back(std::move(it));
         begin = end;
     }
--- a/src/codec/event_stream.hpp
+++ b/src/codec/event_stream.hpp
@@ -18,8 +18,9 @@
 };
 struct stream_event
 {
-    std::string bytes; // including the blank line that ends the event
-    std::string id;    // value of the "id:" line; empty: the event has none
+    std::string bytes;     // including the blank line that ends the event
+    std::string id;        // value of the "id:" line; empty: the event has none
+    bool has_data = false; // false: a comment, which no receiver counts
 };
 // Appends `data` to the stream and returns the events that are now complete.
 std::vector<stream_event> split_events(event_splitter& s,
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -395,7 +395,7 @@
 PAPAYAHOOK_JSON(reattach, id, from)
 PAPAYAHOOK_JSON(answer_head, call, status, content_type, headers, not_run,
                 leaving, pause, malformed_header)
-PAPAYAHOOK_JSON(answer_chunk, call, index, data)
+PAPAYAHOOK_JSON(answer_chunk, call, index, data, has_position)
 PAPAYAHOOK_JSON(answer_end, call, chunks, framed)
 PAPAYAHOOK_JSON(call_failed, call, (failed_step, "where"), may_have_run, detail,
                 closed_by_endpoint, status)
@@ -423,8 +423,9 @@
 PAPAYAHOOK_JSON(pool_move_reported, (move, "what"), ok)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
                 peer_address, capacity, max_queue, max_backlog, max_attempts,
-                retry_budget, retry_burst, (retry_burst_nodes, "retry_sharers"),
-                claim_batch, append_budget, outcome_linger, max_shared_body,
+                resumes_plain_streams, retry_budget, retry_burst,
+                (retry_burst_nodes, "retry_sharers"), claim_batch,
+                append_budget, outcome_linger, max_shared_body,
                 max_shared_bytes, first_token_target, service_wait, hop_cost,
                 prefill_per_token, endpoint_pause, report_horizon,
                 heartbeat_period, peer_timeout, hub_timeout,
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -72,7 +72,8 @@
     bool const due = s.now >= s.leaving_since + s.settings.hand_over_after;
     // A peer that was linked after the others declined is asked at once.
     bool const paused = is_between_rounds(s, r) && pick_peer(s, r) == nullptr;
-    return due && !paused && r.repeatable && holds_whole_answer(r);
+    return due && !paused && r.repeatable && holds_whole_answer(r) &&
+           can_be_continued(r);
 }
 
 hand_over make_offer(node_state const& s, request_state const& r)
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -97,6 +97,12 @@
 void check_progress_timeouts(node_state& s, effects& out);
 // Returns whether the answer so far is held from its first chunk on.
 bool holds_whole_answer(request_state const& r);
+// Returns whether endpoints of this kind continue a stream that another one
+// began.
+bool resumes_streams(node_state const& s, request_state const& r,
+                     endpoint_kind kind);
+// Returns whether another call may produce the rest of the answer.
+bool can_be_continued(request_state const& r);
 // Cancels the open call and removes the request from its queue.
 void stop_call(node_state& s, request_state& r, effects& out);
 void end_request(node_state& s, request_state& r);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -274,6 +274,8 @@
         auto const& e = rec.value;
         if (!serves(s, e, in.pool, in.version, r.request.schema_version))
             continue;
+        if (r.head_sent && !resumes_streams(s, r, e.kind))
+            continue;
         auto const draw = mix(hash_of(name), in.request_hash);
         bool const is_home = contains(in.homes, name);
         if (!is_home && draw / 1'000 % 1'000 >= in.sampled_per_thousand)
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -136,8 +136,7 @@
 #endif
     if (!r.repeatable && r.may_have_run)
         return false;
-    bool const plain_bytes_sent = r.head_sent && !r.request.via_model_path;
-    return !plain_bytes_sent;
+    return can_be_continued(r);
 }
 
 // The content type without parameters such as the character set.
@@ -172,8 +171,6 @@
         emit_log_event(out, events::request_retried, r.request.id, endpoint,
                        detail);
         record_decision(s, r.request.id, "retry", detail);
-        r.early_chunks.clear();
-        r.total_chunks.reset();
         extend_deadline(s, r);
         enqueue(s, r, out);
         return;
@@ -225,6 +222,18 @@
     return retains_chunks(r) || r.sent_chunks == 0;
 }
 
+bool resumes_streams(node_state const& s, request_state const& r,
+                     endpoint_kind kind)
+{
+    return r.request.via_model_path && (kind == endpoint_kind::model_runner ||
+                                        s.settings.resumes_plain_streams);
+}
+
+bool can_be_continued(request_state const& r)
+{
+    return !r.head_sent || (r.endpoint_resumes && r.has_position);
+}
+
 void stop_call(node_state& s, request_state& r, effects& out)
 {
     remove_from_queue(s, r);
@@ -273,6 +282,12 @@
     r.progress_at = s.now;
     r.answering_since = {};
     s.calls[r.call] = r.request.id;
+    r.early_chunks.clear();
+    r.total_chunks.reset();
+    r.endpoint_resumes = resumes_streams(s, r, e.kind);
+    if (!r.endpoint_resumes || !r.has_position)
+        r.chunks.clear(); // the new answer replaces one that nobody has seen
+    r.has_position = true;
     begin_prefill(s, r, e);
     s.endpoints[endpoint].in_flight++;
     s.limits[{e.pool, version}].in_flight++;
@@ -306,8 +321,7 @@
                        ", version " + version + ", configuration " +
                        std::to_string(s.config.applied) + ", waited " +
                        milliseconds_text(s.now - r.arrived));
-    if (e.kind == endpoint_kind::model_runner)
-        it.resume_chunks = r.chunks;
+    it.resume_chunks = r.chunks;
     // HTTP libraries resend a request on their own when a reused idle
     // connection breaks; on a new connection they do not.
     it.fresh_connection = !r.repeatable || !r.failed_endpoints.empty();
@@ -390,6 +404,7 @@
         count_usage(s, r->organisation);
     }
     r->chunks.push_back(e.data);
+    r->has_position = e.has_position;
     auto it = r->early_chunks.find(r->chunks.size());
     while (it != r->early_chunks.end()) {
         r->chunks.push_back(std::move(it->second));
--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -48,7 +48,6 @@
     header_list headers;
     std::string pending;          // bytes not yet written
     std::uint64_t next_index = 0; // index of the chunk that follows `pending`
-    std::optional<std::string> last_event; // id of the last forwarded event
 };
 
 // The endpoint's side of a call.
@@ -62,6 +61,9 @@
     codec::event_splitter events;
     std::string body;             // body of an answer that is not streamed
     std::uint64_t next_index = 0; // index of the next chunk
+    bool has_position = true;     // see core::answer_chunk
+    // Ids of the events that the caller has, in a call that continues them.
+    std::vector<std::string> passed_ids;
 };
 
 class gateway
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -1,6 +1,8 @@
 // Calls to endpoints and their answers.
 #include "runtime/gateway.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <limits>
 
 namespace papayahook::runtime {
@@ -16,6 +18,39 @@
     return it.streams ? codec::max_event_bytes : max_answer_bytes;
 }
 
+std::vector<std::string> ids_of(std::vector<std::string> const& events)
+{
+    std::vector<std::string> out;
+    codec::event_splitter s;
+    for (auto const& bytes : events)
+        for (auto& it : codec::split_events(s, bytes))
+            if (!it.id.empty())
+                out.push_back(std::move(it.id));
+    return out;
+}
+
+std::optional<std::uint64_t> as_number(std::string const& id)
+{
+    std::uint64_t out = 0;
+    auto const* const last = id.data() + id.size();
+    auto const [end, ec] = std::from_chars(id.data(), last, out);
+    bool const valid = ec == std::errc{} && end == last;
+    return valid ? std::optional(out) : std::nullopt;
+}
+
+// Whether an event precedes the position at which the answer continues: the
+// endpoint does not know the position, and its events are of another run.
+bool is_repeated(gateway_call const& r, std::string const& id)
+{
+    if (r.passed_ids.empty() || id.empty())
+        return false;
+    auto const n = as_number(id);
+    auto const last = as_number(r.passed_ids.back());
+    if (n && last)
+        return *n <= *last;
+    return std::ranges::find(r.passed_ids, id) != r.passed_ids.end();
+}
+
 } // namespace
 
 void gateway::carry_out(node& n, core::dispatch const& it)
@@ -27,10 +62,17 @@
         return;
     }
     auto const& c = found->second;
+    gateway_call r;
+    r.request = it.id;
+    r.next_index = it.resume_chunks.size();
+    r.passed_ids = ids_of(it.resume_chunks);
+    std::optional<std::string> last_event;
+    if (!r.passed_ids.empty())
+        last_event = r.passed_ids.back();
     http_call call;
     call.method = c.request.method;
     call.url = "http://" + it.address + c.request.target;
-    call.headers = codec_.call_headers(c.request, it, c.last_event);
+    call.headers = codec_.call_headers(c.request, it, last_event);
     call.body = c.request.body;
     call.connection_group = it.endpoint + "/" + it.incarnation;
     call.echoed_header = {codec_.request_id, c.request_id};
@@ -48,9 +90,6 @@
     call.on_done = [this, &n, id](http_result const& result) {
         on_call_done(n, id, result);
     };
-    gateway_call r;
-    r.request = it.id;
-    r.next_index = it.resume_chunks.size();
     r.transfer = n.client.start(std::move(call));
     calls_.emplace(id, std::move(r));
 }
@@ -111,15 +150,24 @@
         if (found == calls_.end())
             return; // handling an earlier event ended the call
         auto& r = found->second;
+        if (is_repeated(r, it.id)) {
+            auto const node = calls_.extract(found);
+            n.client.cancel(node.mapped().transfer);
+            handle(n, core::call_failed{
+                          call, core::step::receive, true,
+                          "event " + it.id + ", but the stream continues " +
+                              "after " + node.mapped().passed_ids.back()});
+            return;
+        }
+        // Receivers do not count comments, which therefore may be repeated.
+        if (it.has_data)
+            r.has_position = !it.id.empty();
         auto const index = r.next_index++;
         bool const first = !std::exchange(r.head_reported, true);
         auto const head = r.head;
-        auto const caller = callers_.find(r.request);
-        if (caller != callers_.end() && !it.id.empty())
-            caller->second.last_event = it.id;
         if (first)
             handle(n, head);
-        handle(n, core::answer_chunk{call, index, it.bytes});
+        handle(n, core::answer_chunk{call, index, it.bytes, r.has_position});
     }
 }
 
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -27,7 +27,9 @@
 {"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
  "timeout_ms":3000,"service":"app","attempts":1},
 {"name":"raw","host":"h","path_prefix":"/raw/","route_type":"streaming",
- "resumable":true,"timeout_ms":3000,"service":"raw","attempts":2}],
+ "resumable":true,"timeout_ms":3000,"service":"raw","attempts":2},
+{"name":"raw-3","host":"h","path_prefix":"/raw-3/","route_type":"streaming",
+ "resumable":true,"timeout_ms":3000,"service":"raw","attempts":3}],
 "services":[{"name":"app","health_path":"/health"},{"name":"raw"}],
 "tenants":[{"name":"acme","api_keys":["k1"]}]})";
 
@@ -198,12 +200,15 @@
     "id: 1\ndata: a\n\nid: 2\nda<close>";
 
 // Sends a request for a stream to runners that give these answers.
-call_outcome call_raw(std::vector<std::string> const& answers)
+call_outcome
+call_raw(std::vector<std::string> const& answers,
+         core::endpoint_kind kind = core::endpoint_kind::model_runner,
+         std::string const& path = "/raw/x")
 {
     small_platform p;
-    raw_runners raw(p.fake, "raw", {"i-8", "i-9"}, answers);
+    raw_runners raw(p.fake, "raw", {"i-7", "i-8", "i-9"}, answers, kind);
     std::this_thread::sleep_for(500ms); // until the entries are read
-    auto const out = run_call(request(p.nodes[0], "/raw/x", "id-1"));
+    auto const out = run_call(request(p.nodes[0], path, "id-1"));
     CHECK(raw.requests() == static_cast<int>(answers.size()));
     return out;
 }
@@ -249,6 +254,95 @@
     CHECK(it.body == "id: 1\ndata: a\n\n");
 }
 
+namespace {
+
+// Events whose ids and data are the numbers from `first` to `last`.
+std::string events(int first, int last)
+{
+    std::string out;
+    for (int n = first; n <= last; ++n)
+        out += "id: " + std::to_string(n) + "\ndata: " + std::to_string(n) +
+               "\n\n";
+    return out;
+}
+
+// A chunked answer; one that is cut off lacks its last chunk.
+std::string stream_answer(std::string const& body, bool cut_off)
+{
+    std::ostringstream out;
+    out << "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+           "Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n";
+    if (!body.empty())
+        out << std::hex << body.size() << "\r\n" << body << "\r\n";
+    out << (cut_off ? "<close>" : "0\r\n\r\n");
+    return out.str();
+}
+
+} // namespace
+
+// The events of the second call were counted from 0 where the endpoint is no
+// model runner, so that those up to the number sent were dropped as duplicates
+// and the answer ended as complete without them.
+TEST_CASE("a resumed stream is whole at every kind of endpoint")
+{
+    auto const kind = GENERATE(core::endpoint_kind::model_runner,
+                               core::endpoint_kind::plain_service);
+    using answers = std::vector<std::string>;
+    auto const it = GENERATE(
+        // fewer events than the first run, as many, and more
+        answers{stream_answer(events(1, 6), true),
+                stream_answer(events(7, 8), false)},
+        answers{stream_answer(events(1, 4), true),
+                stream_answer(events(5, 8), false)},
+        answers{stream_answer(events(1, 2), true),
+                stream_answer(events(3, 8), false)},
+        // three runs
+        answers{stream_answer(events(1, 3), true),
+                stream_answer(events(4, 5), true),
+                stream_answer(events(6, 8), false)},
+        // cut off between the last event and the end, and before any event
+        answers{stream_answer(events(1, 8), true), stream_answer("", false)},
+        answers{stream_answer("", true), stream_answer(events(1, 8), false)},
+        // with comments, which have no id
+        answers{stream_answer(events(1, 3) + ": alive\n\n", true),
+                stream_answer(events(4, 8), false)});
+    auto const out = call_raw(it, kind, "/raw-3/x");
+    CHECK_FALSE(out.broken);
+    auto body = out.body;
+    if (auto const at = body.find(": alive\n\n"); at != body.npos)
+        body.erase(at, std::string(": alive\n\n").size());
+    CHECK(body == events(1, 8));
+}
+
+TEST_CASE("a stream that no endpoint continues is seen to have broken off")
+{
+    auto const kind = GENERATE(core::endpoint_kind::model_runner,
+                               core::endpoint_kind::plain_service);
+    SECTION("the second endpoint begins again")
+    {
+        auto const out = call_raw({stream_answer(events(1, 3), true),
+                                   stream_answer(events(1, 8), false)},
+                                  kind);
+        CHECK(out.broken);
+        CHECK(out.body == events(1, 3));
+    }
+    SECTION("the second endpoint repeats a part")
+    {
+        auto const out = call_raw({stream_answer(events(5, 7), true),
+                                   stream_answer(events(2, 9), false)},
+                                  kind);
+        CHECK(out.broken);
+        CHECK(out.body == events(5, 7));
+    }
+    SECTION("the newest event has no id")
+    {
+        auto const first = events(1, 2) + "data: x\n\n: alive\n\n";
+        auto const out = call_raw({stream_answer(first, true)}, kind);
+        CHECK(out.broken);
+        CHECK(out.body == first);
+    }
+}
+
 TEST_CASE("odd entries among those of the runners stop no node")
 {
     constexpr std::size_t depth = 100'000;
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -163,6 +163,51 @@
     CHECK(s.w.bodies[id] == whole_text(id, token_count));
 }
 
+// Where endpoints do not continue streams, the pieces of a second answer were
+// taken for those of the first one that have the same index.
+TEST_CASE(
+    "an answer holds the pieces of one run where no endpoint continues it")
+{
+    auto w = make_world(1);
+    bool const resumes = GENERATE(false, true);
+    w.nodes[0].settings.resumes_plain_streams = resumes;
+    auto& endpoints = w.nodes[0].config.endpoints;
+    for (auto& [name, it] : endpoints)
+        it.value.kind = core::endpoint_kind::plain_service;
+    auto const id = ask_chat(w, 0);
+    auto const first = w.dispatches.at(0).what.call;
+    w.dispatches.clear();
+    SECTION("the caller has a part of it")
+    {
+        give(w, 0, core::answer_head{first, 200, "text/event-stream"});
+        give(w, 0, core::answer_chunk{first, 0, token(id, 0)});
+        give(w, 0, core::answer_chunk{first, 3, "of the first run"});
+        bool const has_position = GENERATE(false, true);
+        give(w, 0, core::answer_chunk{first, 1, token(id, 1), has_position});
+        give(w, 0,
+             core::call_failed{first, core::step::receive, true, "cut off"});
+        if (!resumes || !has_position) {
+            CHECK(w.dispatches.empty());
+            REQUIRE(w.ends.contains(id));
+            CHECK_FALSE(w.ends.at(id).whole);
+            return;
+        }
+    }
+    SECTION("the caller has nothing of it")
+    {
+        give(w, 0, core::answer_end{first, 2}); // overtakes the first chunks
+        give(w, 0,
+             core::call_failed{first, core::step::receive, true, "cut off"});
+    }
+    REQUIRE(w.dispatches.size() == 1);
+    auto const& second = w.dispatches.at(0).what;
+    give(w, 0, core::answer_head{second.call, 200, "text/event-stream"});
+    for (auto i = second.resume_chunks.size(); i < token_count; ++i)
+        give(w, 0, core::answer_chunk{second.call, i, token(id, i)});
+    give(w, 0, core::answer_end{second.call, token_count});
+    CHECK(w.bodies[id] == whole_text(id, token_count));
+}
+
 TEST_CASE("an error of the resuming runner does not enter the stream")
 {
     auto w = make_world(1);
--- a/test/support/raw_runners.cpp
+++ b/test/support/raw_runners.cpp
@@ -50,7 +50,8 @@
 
 raw_runners::raw_runners(platform_fake& platform, std::string const& service,
                          std::vector<std::string> const& names,
-                         std::vector<std::string> answers)
+                         std::vector<std::string> answers,
+                         core::endpoint_kind kind)
     : answers_(std::move(answers)), work_(io_.get_executor())
 {
     for (auto const& name : names) {
@@ -58,14 +59,14 @@
             io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0))});
         auto const port = it->acceptor.local_endpoint().port();
         accept(it);
-        nlohmann::json const entry{
-            {"service", service},
-            {"address", "127.0.0.1:" + std::to_string(port)},
-            {"zone", "zone-a"},
-            {"slots", 16},
-            {"state", "ready"},
-            {"models", nlohmann::json::array()},
-            {"born", 1}};
+        nlohmann::json entry{{"service", service},
+                             {"address", "127.0.0.1:" + std::to_string(port)},
+                             {"zone", "zone-a"},
+                             {"slots", 16},
+                             {"state", "ready"},
+                             {"born", 1}};
+        if (kind == core::endpoint_kind::model_runner)
+            entry["models"] = nlohmann::json::array();
         platform.put(wire::endpoint_topic, name, entry.dump());
     }
     thread_ = std::thread([this] { io_.run(); });
--- a/test/support/raw_runners.hpp
+++ b/test/support/raw_runners.hpp
@@ -1,6 +1,7 @@
 // Runners of a fake platform that send arbitrary bytes as answers.
 #pragma once
 
+#include "papayahook/papayahook.hpp"
 #include "support/platform_fake.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -15,7 +16,8 @@
     // An answer that ends with "<close>" is the last one on its connection.
     raw_runners(platform_fake& platform, std::string const& service,
                 std::vector<std::string> const& names,
-                std::vector<std::string> answers);
+                std::vector<std::string> answers,
+                core::endpoint_kind kind = core::endpoint_kind::model_runner);
     ~raw_runners();
 
     int requests();
