--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -416,7 +416,8 @@
     bool closing_link = false; // the sender closes this link but keeps running
     std::size_t nodes = 1;     // 0: the message has no aggregates
     std::size_t listed_nodes = 0;          // nodes listed by the registry
-    std::chrono::milliseconds store_age{}; // age of the sender's registry state
+    // Age of the sender's registry state, which is complete as of then.
+    std::chrono::milliseconds store_age{};
     time_point sent_at{}; // by the sender's clock; time_point{}: not stated
     // Newest `sent_at` of the receiver that the sender has read; time_point{}:
     // not stated.
@@ -429,6 +430,10 @@
     usage_counts usage; // newest windows only
 };
 
+// Stated by a node that has no registry state yet.
+inline constexpr std::chrono::milliseconds unknown_store_age =
+    std::chrono::hours(24);
+
 // Propagated by flooding: a node forwards each item once, when it is new to it.
 struct endpoint_leaving
 {
@@ -1554,7 +1559,10 @@
     // Moving average of the calls in `remote_loads`. It is used when there are
     // many nodes, because their reports are then older than most calls last.
     std::unordered_map<std::uint32_t, double> remote_call_means;
-    time_point store_as_of{}; // time of the newest registry state known here
+    // The registry state known here is complete as of then; time_point{}: none
+    // is known.
+    time_point store_as_of{};
+    time_point awaits_store_since{}; // start of this node
     time_point store_failed_at{}; // this node's newest failed read of it
     follow_store store_reads;     // what this node reads of the store now
     duty_state duties;
--- a/src/core/aggregation.cpp
+++ b/src/core/aggregation.cpp
@@ -110,8 +110,7 @@
     out.leaving = s.leaving;
     out.nodes = 0;
     out.listed_nodes = s.listed_nodes;
-    out.store_age =
-        std::chrono::ceil<std::chrono::milliseconds>(s.now - s.store_as_of);
+    out.store_age = store_age(s);
     out.sent_at = s.now;
     return out;
 }
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -150,6 +150,8 @@
 // Applies registry entries and floods those that are new.
 void learn_endpoints(node_state& s, std::vector<endpoint_entry> const& e,
                      effects& out);
+// Returns the age of the registry state known here, at most unknown_store_age.
+std::chrono::milliseconds store_age(node_state const& s);
 // Applies the age of the registry state that a peer or the store reported.
 void update_store_age(node_state& s, std::chrono::milliseconds age,
                       effects& out);
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -192,6 +192,17 @@
     return s.now - e.sent_at - *p.clock_difference;
 }
 
+// Whether this node has all the registry state for which the heartbeat states
+// an age. The configuration is fetched on request. The endpoints' entries are
+// sent on a link before the first heartbeat that echoes one of this node, and
+// later ones as they become known. Nodes that are not selected to read a
+// registry have no such state, and only relay the age.
+bool has_all_data_of(node_state const& s, heartbeat const& e)
+{
+    return s.settings.max_store_age == 0ms ||
+           (e.config <= s.config.applied && e.echoed_at != time_point{});
+}
+
 void on_heartbeat(node_state& s, peer_state& p, heartbeat const& e,
                   effects& out)
 {
@@ -199,7 +210,8 @@
     replace_figures(s, p, e);
     auto const waited =
         std::chrono::ceil<std::chrono::milliseconds>(waiting_time(s, p, e));
-    update_store_age(s, e.store_age + waited, out);
+    if (has_all_data_of(s, e))
+        update_store_age(s, e.store_age + waited, out);
     bool const requested_recently =
         s.now < s.config_requested_at + duration(config_request_interval);
     if (e.config <= s.config.applied || requested_recently)
--- a/src/core/store_readers.cpp
+++ b/src/core/store_readers.cpp
@@ -32,7 +32,8 @@
 {
     if (s.rank < reader_count)
         return true;
-    auto const age = s.now - s.store_as_of;
+    // A node that starts waits for its peers' data before it reads the store.
+    auto const age = s.now - std::max(s.store_as_of, s.awaits_store_since);
     auto const limit = duration(s.settings.max_store_age);
     if (!has_live_peer(s))
         return age >= limit;
@@ -59,11 +60,18 @@
     return s.settings.max_store_age == 0ms || s.store_reads.duties;
 }
 
+std::chrono::milliseconds store_age(node_state const& s)
+{
+    return std::min(
+        unknown_store_age,
+        std::chrono::ceil<std::chrono::milliseconds>(s.now - s.store_as_of));
+}
+
 void update_store_age(node_state& s, std::chrono::milliseconds age,
                       effects& out)
 {
     auto const as_of = s.now - duration(age);
-    if (as_of <= s.store_as_of)
+    if (as_of <= s.store_as_of || age >= unknown_store_age)
         return;
     bool const was_outage = s.store_as_of != time_point{} &&
                             s.store_as_of + duration(outage_after) < as_of &&
@@ -80,8 +88,8 @@
 {
     if (s.settings.max_store_age == 0ms)
         return;
-    if (s.store_as_of == time_point{})
-        s.store_as_of = s.now;
+    if (s.awaits_store_since == time_point{})
+        s.awaits_store_since = s.now;
     follow_store next;
     // The list of nodes is read first: it tells whether other nodes read.
     bool const listed = s.listed_nodes != 0;
@@ -95,13 +103,14 @@
         // Another node may hold the lease by now.
         s.duties.has_read_stream = false;
     s.store_reads = next;
-    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        s.now - s.store_as_of);
+    auto const age = store_age(s);
     emit_log_event(out, events::store_followed, s.settings.name, "",
                    std::string(next.registry ? "registry" : "") +
                        (next.duties ? " duties" : "") + ", rank " +
                        std::to_string(s.rank) + ", data " +
-                       std::to_string(age.count()) + " ms old");
+                       (age == unknown_store_age
+                            ? "unknown"
+                            : std::to_string(age.count()) + " ms old"));
     out.push_back(next);
 }
 
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -440,7 +440,10 @@
     platform::topic_handlers handlers;
     handlers.on_records = [](auto const&) {
     };
-    handlers.on_state = [&](bool reachable, auto const&) {
+    handlers.now = [] {
+        return core::time_point{};
+    };
+    handlers.on_state = [&](bool reachable, auto, auto const&) {
         reachable_reports += reachable ? 1 : 0;
     };
     platform::topic_reader reader(io, client, fake.store_address,
--- a/test/store_readers_test.cpp
+++ b/test/store_readers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 
 using namespace papayahook;
 using namespace papayahook::support;
@@ -14,15 +15,30 @@
 constexpr auto max_store_age = 1'200ms; // out of drain_ms = 2,000
 constexpr auto drain_time = 2'000ms;
 
+// What the store holds.
+struct store_content
+{
+    core::offset entry_at = 0; // offset of the newest entry; 0: none
+    core::offset config = 0;   // offset of the newest configuration; 0: none
+};
+
 // Nodes and a store, which answers the nodes that have access.
-struct store_world
+struct store_world : store_content
 {
     fabric f;
     std::set<std::size_t> denied;
     bool down = false;
     int calls = 0;
-    core::offset entry_at = 0; // offset of the newest entry
+    std::chrono::milliseconds answer_time{0}; // longest
     std::map<std::size_t, core::time_point> next_read;
+    struct open_read
+    {
+        core::time_point began{};
+        core::time_point answered{};
+        store_content seen;
+    };
+    std::map<std::size_t, open_read> open_reads;
+    std::vector<std::pair<core::time_point, store_content>> history;
 };
 
 bool is_answered(store_world const& w, std::size_t i)
@@ -30,26 +46,56 @@
     return !w.down && !w.denied.contains(i);
 }
 
+void answer_read(store_world& w, std::size_t i,
+                 store_world::open_read const& read)
+{
+    auto const age =
+        std::chrono::ceil<std::chrono::milliseconds>(w.f.now - read.began);
+    give(w.f, i, core::log_reachable{true, age});
+    if (read.seen.entry_at != 0) {
+        core::endpoint_entry e;
+        e.at = read.seen.entry_at;
+        e.name = "e1";
+        e.present = true;
+        e.draining = read.seen.entry_at > 1;
+        e.value.name = "e1";
+        e.value.version = std::to_string(e.at);
+        give(w.f, i, core::endpoints_listed{{e}, {}});
+    }
+    if (read.seen.config != 0) {
+        core::config_snapshot it;
+        it.applied = read.seen.config;
+        it.lists_endpoints = false;
+        give(w.f, i, core::config_published{it});
+    }
+}
+
 void read_store(store_world& w, std::size_t i)
 {
+    if (auto const open = w.open_reads.find(i); open != w.open_reads.end()) {
+        if (w.f.now < open->second.answered)
+            return;
+        auto const read = w.open_reads.extract(open).mapped();
+        answer_read(w, i, read);
+        return;
+    }
     auto& next = w.next_read[i];
     if (w.f.now < next)
         return;
     w.calls++;
     bool const ok = is_answered(w, i);
     next = w.f.now + (ok ? 800ms : 600ms);
-    give(w.f, i, core::log_reachable{ok});
-    if (!ok || w.entry_at == 0)
+    if (!ok) {
+        give(w.f, i, core::log_reachable{false});
         return;
-    core::endpoints_listed list;
-    core::endpoint_entry e;
-    e.at = w.entry_at;
-    e.name = "e1";
-    e.present = true;
-    e.draining = w.entry_at > 1;
-    e.value.name = "e1";
-    list.entries.push_back(e);
-    give(w.f, i, list);
+    }
+    auto const steps = w.answer_time / 50ms;
+    auto const time = steps == 0 ? 0ms : w.calls % (steps + 1) * 50ms;
+    store_world::open_read const read{w.f.now, w.f.now + time, w};
+    if (time == 0ms)
+        answer_read(w, i, read);
+    else
+        w.open_reads[i] = read;
 }
 
 void run(store_world& w, std::chrono::milliseconds time)
@@ -63,6 +109,45 @@
     }
 }
 
+void write_store(store_world& w, store_content const& it)
+{
+    static_cast<store_content&>(w) = it;
+    w.history.emplace_back(w.f.now, it);
+}
+
+void restart_process(store_world& w, std::size_t i)
+{
+    kill(w.f, i);
+    w.open_reads.erase(i);
+    w.next_read.erase(i);
+    run(w, 100ms);
+    w.f.follows[i] = {};
+    restart(w.f, i);
+}
+
+// Returns whether a node applies all that was written until the time as of
+// which it states that its data are complete.
+bool is_stated_age_true(store_world const& w, std::size_t i)
+{
+    auto const& n = w.f.nodes[i];
+    auto const after = std::ranges::find_if(
+        w.history, [&](auto const& it) { return it.first >= n.store_as_of; });
+    if (after == w.history.begin())
+        return true;
+    auto const& needed = std::prev(after)->second;
+    auto const known = n.endpoints.find("e1");
+    auto const entry = known == n.endpoints.end() ? 0 : known->second.entry.at;
+    return n.config.applied >= needed.config && entry >= needed.entry_at;
+}
+
+std::size_t count_false_ages(store_world const& w)
+{
+    std::size_t out = 0;
+    for (std::size_t i = 0; i < w.f.nodes.size(); ++i)
+        out += w.f.running[i] && !is_stated_age_true(w, i) ? 1 : 0;
+    return out;
+}
+
 store_world make_store(std::size_t nodes)
 {
     store_world w;
@@ -249,3 +334,104 @@
     run(w, drain_time);
     CHECK(count_outdated(w, {hub}) == 0);
 }
+
+// A node that started claimed that its data, which it did not have yet, were
+// fresh; all others took theirs for that fresh and did not read the store.
+TEST_CASE("nodes that start in series do not make the others' data look fresh")
+{
+    for (std::size_t const count : {6, 7, 60}) {
+        CAPTURE(count);
+        auto w = make_store(count);
+        auto const reading = readers(w);
+        w.denied.insert(reading.begin(), reading.end());
+        write_store(w, {2, 2});
+        auto const end = w.f.now + drain_time;
+        auto restarted = w.denied;
+        for (std::size_t i = 0; w.f.now < end; ++i) {
+            bool const last_calm_node = restarted.size() + 1 == count;
+            if (last_calm_node || restarted.contains(i)) {
+                run(w, last_calm_node ? 50ms : 0ms);
+                continue;
+            }
+            restart_process(w, i);
+            restarted.insert(i);
+            run(w, 900ms);
+        }
+        CHECK(count_outdated(w, restarted) == 0);
+        for (std::size_t i = 0; i < count; ++i)
+            CHECK((restarted.contains(i) ||
+                   w.f.nodes[i].config.applied == w.config));
+    }
+}
+
+// On a new link the age arrives before the entries that this node lacks.
+TEST_CASE("a peer's age counts once the peer has sent its data")
+{
+    auto f = make_fabric(1, 1);
+    f.nodes[0].settings.max_store_age = max_store_age;
+    f.now += 1s;
+    give(f, 0, core::peer_opened{1});
+    core::hello hello;
+    hello.node = "peer";
+    hello.incarnation = 1;
+    give(f, 0, core::peer_received{1, hello});
+    core::heartbeat it;
+    it.sent_at = f.now;
+    it.store_age = 10ms;
+    give(f, 0, core::peer_received{1, it});
+    CHECK(f.nodes[0].store_as_of == core::time_point{});
+    it.echoed_at = f.now;
+    it.config = 1; // not known here
+    give(f, 0, core::peer_received{1, it});
+    CHECK(f.nodes[0].store_as_of == core::time_point{});
+    it.config = 0;
+    give(f, 0, core::peer_received{1, it});
+    CHECK(f.nodes[0].store_as_of == f.now - 10ms);
+}
+
+// A node may rely on data only as long as it knows how old they are: an age
+// that arrives before the data, or without them, hides a change.
+TEST_CASE("no node states that its data are younger than they are")
+{
+    for (std::size_t const count : {7, 40, 295})
+        for (unsigned seed = 1; seed <= (count < 100 ? 10 : 1); ++seed) {
+            CAPTURE(count, seed);
+            std::mt19937 random(seed);
+            auto w = make_store(count);
+            w.answer_time = 400ms;
+            std::size_t false_ages = 0;
+            for (int round = 0; round < 60; ++round) {
+                auto const any = random() % count;
+                if (random() % 4 == 0)
+                    write_store(w, {w.entry_at + 1, w.config});
+                if (random() % 4 == 0)
+                    write_store(w, {w.entry_at, w.config + 1});
+                switch (random() % 6) {
+                case 0:
+                case 1:
+                    restart_process(w, any);
+                    break;
+                case 2:
+                    w.f.delays[any] = random() % 20 * 50ms;
+                    break;
+                case 3:
+                    w.denied = {};
+                    for (auto const i : readers(w))
+                        if (random() % 2 == 0)
+                            w.denied.insert(i);
+                    break;
+                case 4:
+                    if (!w.f.frozen.erase(any))
+                        w.f.frozen.insert(any);
+                    break;
+                default:
+                    break;
+                }
+                for (int step = 0; step < 4; ++step) {
+                    run(w, 50ms);
+                    false_ages += count_false_ages(w);
+                }
+            }
+            CHECK(false_ages == 0);
+        }
+}
--- a/test/support/fabric.cpp
+++ b/test/support/fabric.cpp
@@ -144,7 +144,7 @@
     while (!f.messages.empty()) {
         auto it = std::move(f.messages.front());
         f.messages.pop_front();
-        if (it.due > f.now)
+        if (it.due > f.now || f.frozen.contains(it.to))
             delayed.push_back(std::move(it));
         else if (f.links.contains(it.link) && !f.cut.contains(it.to))
             give(f, it.to, core::peer_received{it.link, std::move(it.message)});
