--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -155,6 +155,8 @@
 // Applies the age of the registry state that a peer or the store reported.
 void update_store_age(node_state& s, std::chrono::milliseconds age,
                       effects& out);
+// Returns whether the store did not answer any node until then.
+bool is_store_away(node_state const& s, time_point until);
 // Returns whether this node reads the stream that holds the lease.
 bool can_hold_lease(node_state const& s);
 // Decides what this node reads of the store.
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -55,10 +55,6 @@
     if (s.log_reachable == e.reachable)
         return;
     s.log_reachable = e.reachable;
-    bool const first =
-        s.log_restored_at == time_point{} && s.config.applied == 0;
-    if (e.reachable && !first)
-        s.log_restored_at = s.now;
     emit_log_event(out, e.reachable ? events::log_back : events::log_lost,
                    "log", "", "");
 }
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -26,9 +26,12 @@
 }
 
 // While the registry is unreachable, its entries may expire for endpoints that
-// still serve. Live endpoints are listed again soon after it responds again.
-time_point usable_until(node_state const& s, endpoint_state const& known)
+// still serve. Live endpoints are listed again soon after it responds again. A
+// peer's entry that arrives meanwhile shows that it responds.
+time_point usable_until(node_state& s, endpoint_state const& known)
 {
+    if (is_store_away(s, s.now))
+        s.log_restored_at = s.now;
     auto const grace_end =
         s.log_restored_at + duration(s.settings.relist_grace);
     bool const may_be_relisted =
--- a/src/core/store_readers.cpp
+++ b/src/core/store_readers.cpp
@@ -19,7 +19,11 @@
 constexpr double max_reader_wait = 0.4;
 // A node that received no message from a peer for longer is isolated.
 constexpr auto isolated_after = 1'000ms;
-constexpr auto outage_after = 2'500ms; // longer staleness counts as an outage
+// Entries expire after some three seconds without a write, one of which may
+// precede the outage.
+constexpr auto min_outage = 2'500ms;
+// Time of a read, and of its way to the other nodes.
+constexpr auto read_allowance = 1'000ms;
 
 bool has_live_peer(node_state const& s)
 {
@@ -53,8 +57,28 @@
     return age >= threshold + wait;
 }
 
+// Longest age of the data while the store answers some node.
+duration longest_age(node_state const& s)
+{
+    auto const limit = duration(s.settings.max_store_age);
+    return limit +
+           std::chrono::duration_cast<duration>(max_reader_wait * limit) +
+           duration(read_allowance);
+}
+
 } // namespace
 
+// This node has tried to read the store, and no node that it hears of has read
+// it either for so long that entries may have expired. A node that reads for
+// the first time, or that alone is refused, knows of no outage.
+bool is_store_away(node_state const& s, time_point until)
+{
+    auto const away_after = std::max(duration(min_outage), longest_age(s));
+    return s.store_as_of != time_point{} &&
+           s.store_failed_at >= s.store_as_of &&
+           s.store_as_of + away_after < until;
+}
+
 bool can_hold_lease(node_state const& s)
 {
     return s.settings.max_store_age == 0ms || s.store_reads.duties;
@@ -73,9 +97,7 @@
     auto const as_of = s.now - duration(age);
     if (as_of <= s.store_as_of || age >= unknown_store_age)
         return;
-    bool const was_outage = s.store_as_of != time_point{} &&
-                            s.store_as_of + duration(outage_after) < as_of &&
-                            s.config.applied != 0;
+    bool const was_outage = is_store_away(s, as_of);
     s.store_as_of = as_of;
     if (!was_outage)
         return;
--- a/test/store_readers_test.cpp
+++ b/test/store_readers_test.cpp
@@ -15,11 +15,12 @@
 constexpr auto max_store_age = 1'200ms; // out of drain_ms = 2,000
 constexpr auto drain_time = 2'000ms;
 
-// What the store holds.
+// What the store holds. The endpoint's first entry is ready, later ones drain.
 struct store_content
 {
     core::offset entry_at = 0; // offset of the newest entry; 0: none
     core::offset config = 0;   // offset of the newest configuration; 0: none
+    bool is_listed = true;     // the endpoint has an entry
 };
 
 // Nodes and a store, which answers the nodes that have access.
@@ -56,8 +57,8 @@
         core::endpoint_entry e;
         e.at = read.seen.entry_at;
         e.name = "e1";
-        e.present = true;
-        e.draining = read.seen.entry_at > 1;
+        e.present = read.seen.is_listed;
+        e.draining = e.present && read.seen.entry_at > 1;
         e.value.name = "e1";
         e.value.version = std::to_string(e.at);
         give(w.f, i, core::endpoints_listed{{e}, {}});
@@ -435,3 +436,117 @@
             CHECK(false_ages == 0);
         }
 }
+
+namespace {
+
+// Counts running nodes, except those in `excluded`, that may send requests to
+// the endpoint.
+std::size_t count_users(store_world const& w,
+                        std::set<std::size_t> const& excluded)
+{
+    std::size_t out = 0;
+    for (std::size_t i = 0; i < w.f.nodes.size(); ++i) {
+        auto const& known = w.f.nodes[i].endpoints;
+        auto const it = known.find("e1");
+        bool const uses =
+            it != known.end() &&
+            (it->second.entry.present || it->second.usable_until > w.f.now);
+        out += w.f.running[i] && !excluded.contains(i) && uses ? 1 : 0;
+    }
+    return out;
+}
+
+} // namespace
+
+// The first read of a node, or one after a read that failed at it alone,
+// counted as the end of an outage: entries that were missing stayed in use for
+// the time that is meant for those that had expired in an outage.
+TEST_CASE(
+    "a node that begins to read the store drops removed endpoints at once")
+{
+    enum class fault
+    {
+        frozen,
+        denied,
+        killed,
+        denied_shortly,
+    };
+    auto const drain = GENERATE(2'000ms, 3'000ms, 4'000ms);
+    auto const what = GENERATE(fault::frozen, fault::denied, fault::killed,
+                               fault::denied_shortly);
+    // Nodes begin to read, stop and begin again.
+    int const earlier_rounds = GENERATE(0, 1, 2);
+    CAPTURE(drain.count(), static_cast<int>(what), earlier_rounds);
+    auto w = make_store(40);
+    for (auto& it : w.f.nodes)
+        it.settings.max_store_age = drain * 6 / 10;
+    write_store(w, {1, 1});
+    run(w, 3s);
+    REQUIRE(count_users(w, {}) == 40);
+    std::set<std::size_t> ever_affected;
+    std::set<std::size_t> affected;
+    auto const affect_readers = [&] {
+        auto const reading = readers(w);
+        affected = {reading.begin(), reading.end()};
+        ever_affected.insert(reading.begin(), reading.end());
+        if (what == fault::frozen)
+            w.f.frozen = affected;
+        else if (what == fault::killed)
+            std::ranges::for_each(reading, [&](auto i) { kill(w.f, i); });
+        else
+            w.denied = affected;
+    };
+    auto const end_fault = [&] {
+        w.f.frozen = {};
+        w.denied = {};
+        for (auto const i : affected)
+            if (!w.f.running[i])
+                restart_process(w, i);
+    };
+    for (int round = 0; round < earlier_rounds; ++round) {
+        affect_readers();
+        run(w, drain);
+        end_fault();
+        run(w, 3s);
+    }
+    affect_readers();
+    auto entry = store_content(w);
+    entry.entry_at++;
+    entry.is_listed = false;
+    write_store(w, entry);
+    constexpr auto short_time = 700ms;
+    run(w, short_time);
+    if (what == fault::denied_shortly)
+        end_fault();
+    run(w, drain - short_time);
+    bool const are_calm =
+        what == fault::denied || what == fault::denied_shortly;
+    if (are_calm)
+        ever_affected = {};
+    CHECK(count_users(w, ever_affected) == 0);
+}
+
+TEST_CASE(
+    "entries that expired while the store was away stay in use until they "
+    "may be listed again")
+{
+    for (auto const drain : {2'000ms, 3'000ms, 4'000ms}) {
+        CAPTURE(drain.count());
+        auto w = make_store(40);
+        for (auto& it : w.f.nodes)
+            it.settings.max_store_age = drain * 6 / 10;
+        write_store(w, {1, 1});
+        run(w, 3s);
+        w.down = true;
+        run(w, 8s);
+        w.down = false;
+        auto entry = store_content(w);
+        entry.entry_at++;
+        entry.is_listed = false;
+        write_store(w, entry);
+        run(w, 1'400ms);
+        CHECK(count_users(w, {}) == 40);
+        run(w, 2s);
+        CHECK(count_users(w, {}) == 0);
+    }
+}
