--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -415,7 +415,7 @@
     bool receiver_is_hub = false; // the sender uses the receiver as its hub
     bool closing_link = false; // the sender closes this link but keeps running
     std::size_t nodes = 1;     // 0: the message has no aggregates
-    std::size_t listed_nodes = 0;          // nodes listed by the registry
+    std::size_t listed_nodes = 0; // nodes listed by the registry
     // Age of the sender's registry state, which is complete as of then.
     std::chrono::milliseconds store_age{};
     time_point sent_at{}; // by the sender's clock; time_point{}: not stated
@@ -1228,6 +1228,14 @@
     time_point since{};
 };
 
+// A failed call whose request is not sent again yet: it may turn out that its
+// prompt ended the endpoint.
+struct held_failure
+{
+    call_failed what;
+    time_point since{};
+};
+
 // What is known of a part that several prompts have.
 struct part_state
 {
@@ -1286,7 +1294,8 @@
     bool on_new_version = false; // its call goes to the move's new version
     // First chunk late against the old version's mean.
     bool first_chunk_slow = false;
-    int attempts = 0; // calls made
+    int attempts = 0;        // calls made
+    int failed_connects = 0; // calls for which no connection was made
     bool may_have_run = false;
     bool caller_present = true;
     time_point call_started{};
@@ -1563,8 +1572,8 @@
     // is known.
     time_point store_as_of{};
     time_point awaits_store_since{}; // start of this node
-    time_point store_failed_at{}; // this node's newest failed read of it
-    follow_store store_reads;     // what this node reads of the store now
+    time_point store_failed_at{};    // this node's newest failed read of it
+    follow_store store_reads;        // what this node reads of the store now
     duty_state duties;
     std::map<std::string, work_rate> work; // of this node, by pool
     time_point work_since{};               // when `work` was first counted
@@ -1582,6 +1591,7 @@
     time_point parts_maintained_at{};
     // By the hash of the endpoint's name and incarnation. Bounded.
     std::map<std::uint64_t, endpoint_suspicion> endpoint_suspicions;
+    std::vector<held_failure> held_failures;
     // Reasons, by move and the offset of its own record or order.
     std::map<std::pair<std::string, offset>, std::string> vetoes;
     std::deque<successor_news> successors; // newest last, bounded
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -95,6 +95,12 @@
 void send_stored_answer(node_state& s, request_state& r,
                         claim_state const& claim, effects& out);
 void check_progress_timeouts(node_state& s, effects& out);
+// Sends the endpoint no calls of this node for this time.
+void pause_endpoint(node_state& s, std::string const& endpoint,
+                    std::chrono::milliseconds pause, std::string why,
+                    effects& out);
+// Handles the failures for which nothing is left to wait for.
+void release_held_failures(node_state& s, effects& out);
 // Returns whether the answer so far is held from its first chunk on.
 bool holds_whole_answer(request_state const& r);
 // Returns whether endpoints of this kind continue a stream that another one
@@ -119,6 +125,9 @@
 void suspect_endpoint(node_state& s, request_state const& r, effects& out);
 void on_endpoint_checked(node_state& s, endpoint_checked const& e,
                          effects& out);
+// Returns whether a check under way may prove that a part of the prompt ends
+// endpoints.
+bool awaits_quarantine(node_state const& s, request_state const& r);
 // Handles a whole answer, or each chunk of one.
 void clear_parts(node_state& s, request_state const& r, effects& out);
 void clear_parts_if_harmless(node_state& s, request_state const& r,
--- a/src/core/quarantine.cpp
+++ b/src/core/quarantine.cpp
@@ -58,6 +58,17 @@
            p.ends.end();
 }
 
+// Counts the endpoints of which is not known yet whether they have ended under
+// the part.
+std::ptrdiff_t count_checks(node_state const& s, std::uint64_t part)
+{
+    return std::ranges::count_if(s.endpoint_suspicions, [&](auto const& it) {
+        return std::ranges::any_of(it.second.calls, [&](auto const& call) {
+            return std::ranges::find(call.parts, part) != call.parts.end();
+        });
+    });
+}
+
 bool is_cleared(node_state const& s, part_state const& p)
 {
     return p.answered_at != time_point{} &&
@@ -387,13 +398,25 @@
         on_endpoint_checked(s, {r.endpoint, r.incarnation, true}, out);
 }
 
-void on_endpoint_checked(node_state& s, endpoint_checked const& e, effects& out)
+bool awaits_quarantine(node_state const& s, request_state const& r)
 {
-    auto const key = incarnation_key(e.endpoint, e.incarnation);
-    auto const node = s.endpoint_suspicions.extract(key);
-    if (node.empty() || !e.refuses)
-        return;
-    for (auto const& call : node.mapped().calls)
+    return std::ranges::any_of(r.request.shared_parts, [&](auto part) {
+        auto const it = s.parts.find(part);
+        if (it == s.parts.end() || is_cleared(s, it->second))
+            return false;
+        auto const checks = count_checks(s, part);
+        return checks > 0 &&
+               count_ends(it->second) + checks >= ends_for_quarantine;
+    });
+}
+
+namespace {
+
+// Adds the end of an endpoint to the parts of the calls that it broke off.
+void add_ends(node_state& s, endpoint_checked const& e, std::uint64_t key,
+              std::vector<broken_call> const& calls, effects& out)
+{
+    for (auto const& call : calls)
         for (auto const part : call.parts) {
             auto const& p = state_of(s, part);
             bool const independent = !p.ends.empty() &&
@@ -404,15 +427,34 @@
                                              independent, e.endpoint, out);
             if (!is_news)
                 continue;
-            auto const age =
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    s.now - call.broken);
+            // Rounded down, the end would seem to follow the start of a call
+            // that was made because of it.
+            auto const age = std::chrono::ceil<std::chrono::milliseconds>(
+                s.now - call.broken);
             flood_part(s, {part, part_status::suspected, key, independent, age},
                        out);
             quarantine_if_proven(s, part, out);
         }
 }
 
+} // namespace
+
+void on_endpoint_checked(node_state& s, endpoint_checked const& e, effects& out)
+{
+    auto const key = incarnation_key(e.endpoint, e.incarnation);
+    auto const node = s.endpoint_suspicions.extract(key);
+    if (!node.empty() && e.refuses) {
+        auto const at = s.config.endpoints.find(e.endpoint);
+        bool const is_current = at != s.config.endpoints.end() &&
+                                at->second.value.incarnation == e.incarnation;
+        if (is_current)
+            pause_endpoint(s, e.endpoint, s.settings.endpoint_pause,
+                           "it has ended", out);
+        add_ends(s, e, key, node.mapped().calls, out);
+    }
+    release_held_failures(s, out);
+}
+
 void clear_parts(node_state& s, request_state const& r, effects& out)
 {
     for (auto const part : r.request.shared_parts) {
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -129,6 +129,7 @@
     shed_queued_requests(s, out);
     refuse_paused_requests(s, out);
     check_progress_timeouts(s, out);
+    release_held_failures(s, out);
     retry_appends(s, out);
     flush_claims(s, out);
     expire_claims(s);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -3,6 +3,7 @@
 #include "core/internal.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayahook::core {
 
@@ -19,7 +20,13 @@
 }
 
 constexpr int failures_before_pause = 3;
+// Calls without a connection that do not count as attempts of a request: they
+// reach no endpoint.
+constexpr int max_free_connects = 4;
 constexpr std::size_t max_out_of_order_chunks = 4096;
+// Longest wait for the check of an endpoint. A check takes a round trip, unless
+// the endpoint's instance is gone.
+constexpr auto max_check_wait = 100ms;
 
 void close_call(node_state& s, request_state& r)
 {
@@ -129,7 +136,8 @@
         it == s.config.routes.end() || it->second.value.max_attempts == 0
             ? s.settings.max_attempts
             : it->second.value.max_attempts;
-    if (r.attempts >= max_attempts)
+    auto const free_connects = std::min(r.failed_connects, max_free_connects);
+    if (r.attempts - free_connects >= max_attempts)
         return false;
 #if PAPAYAHOOK_MUTATION_RETRY_ANYTHING
     return true;
@@ -152,12 +160,10 @@
     auto& e = s.endpoints[endpoint];
     emit_log_event(out, events::call_failed, r.request.id, endpoint,
                    std::string(to_string(where)) + ": " + detail);
-    if (++e.failures >= failures_before_pause || where == step::connect) {
-        e.paused_until = std::max(e.paused_until,
-                                  s.now + duration(s.settings.endpoint_pause));
-        emit_log_event(out, events::endpoint_paused, endpoint, "", detail);
-    }
+    if (++e.failures >= failures_before_pause || where == step::connect)
+        pause_endpoint(s, endpoint, s.settings.endpoint_pause, detail, out);
     r.may_have_run = r.may_have_run || may_have_run;
+    r.failed_connects += where == step::connect ? 1 : 0;
     r.failed_endpoints.push_back(endpoint);
     count_answer(s, r, true);
     close_call(s, r);
@@ -204,19 +210,18 @@
            it->second.value.incarnation == r.incarnation;
 }
 
+} // namespace
+
 // The pause holds for this node alone: the endpoint may have room for others.
-void pause_endpoint(node_state& s, request_state const& r,
-                    std::chrono::milliseconds pause, effects& out)
+void pause_endpoint(node_state& s, std::string const& endpoint,
+                    std::chrono::milliseconds pause, std::string why,
+                    effects& out)
 {
-    auto& until = s.endpoints[r.endpoint].paused_until;
+    auto& until = s.endpoints[endpoint].paused_until;
     until = std::max(until, s.now + duration(pause));
-    emit_log_event(out, events::endpoint_paused, r.endpoint, "",
-                   "asked for a pause of " + milliseconds_text(pause) +
-                       " in its answer to " + r.request.id);
+    emit_log_event(out, events::endpoint_paused, endpoint, "", std::move(why));
 }
 
-} // namespace
-
 bool holds_whole_answer(request_state const& r)
 {
     return retains_chunks(r) || r.sent_chunks == 0;
@@ -342,7 +347,10 @@
     if (e.leaving)
         learn_leaving(s, {r->endpoint, r->incarnation}, out);
     if (e.pause > 0ms && is_current_incarnation(s, *r))
-        pause_endpoint(s, *r, e.pause, out);
+        pause_endpoint(s, r->endpoint, e.pause,
+                       "asked for a pause of " + milliseconds_text(e.pause) +
+                           " in its answer to " + r->request.id,
+                       out);
     // A failure status of the endpoint is passed on as the answer if no other
     // call is allowed.
     bool const retryable_failure = e.status >= 500 && r->repeatable &&
@@ -442,10 +450,30 @@
         suspect_endpoint(s, *r, out);
         if (r->call != e.call)
             return; // refused with the parts that are quarantined now
+        if (awaits_quarantine(s, *r)) {
+            s.held_failures.push_back({e, s.now});
+            out.push_back(wake{s.now + duration(max_check_wait)});
+            return;
+        }
     }
     fail_call(s, *r, e.failed_step, e.may_have_run, e.detail, out);
 }
 
+void release_held_failures(node_state& s, effects& out)
+{
+    for (auto const& it : std::exchange(s.held_failures, {})) {
+        auto* const r = request_of_call(s, it.what.call);
+        if (r == nullptr)
+            continue; // ended meanwhile
+        bool const in_time = s.now < it.since + duration(max_check_wait);
+        if (in_time && awaits_quarantine(s, *r))
+            s.held_failures.push_back(it);
+        else
+            fail_call(s, *r, it.what.failed_step, it.what.may_have_run,
+                      it.what.detail, out);
+    }
+}
+
 void on_caller_gone(node_state& s, caller_gone const& e, effects& out)
 {
     auto* const r = find_request(s, e.id);
--- a/test/quarantine_test.cpp
+++ b/test/quarantine_test.cpp
@@ -123,9 +123,12 @@
     CHECK(share_answered(s, s.f.now - 5s) > 0.95);
 }
 
+// A call broke off and the request was sent again before it was known that the
+// third endpoint had ended.
 TEST_CASE("the attempts of one request end at most three runners")
 {
     auto s = make_runner_site(node_count, runner_count, 1, 6);
+    s.check_time = GENERATE(0ms, 50ms);
     s.ending_parts = {ending_part};
     auto const id = ask(s, 0, {ending_part});
     run(s, 3s);
--- a/test/support/runners.hpp
+++ b/test/support/runners.hpp
@@ -44,6 +44,15 @@
     std::vector<core::time_point> ends; // times at which runners ended
     // Times at which requests with an ending part reached a runner.
     std::vector<core::time_point> ending_calls;
+    // Time until a node knows whether an endpoint accepts connections.
+    std::chrono::milliseconds check_time{0};
+    struct open_check
+    {
+        std::size_t node = 0;
+        core::check_endpoint what;
+        core::time_point due{};
+    };
+    std::vector<open_check> checks;
     std::mt19937 random;
     int next_request = 1;
 };
