Limits of an answer count for each call on a kept connection

Found beside the report about bytes without end: the bytes of a body and the interim answers were counted over all calls of a connection (up to 256), so that a sound answer failed as too long once the earlier ones had used up its limit. Test: http_client_test, "limits of an answer ...". Beside it the report about a head that breaks off: heads cut at each byte, after interim answers, with and without a length, on new and kept connections are errors; it does not happen here.

--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -485,6 +485,8 @@
     c->value_last = false;
     c->complete = false;
     c->head_seen = false;
+    c->body_bytes = 0;
+    c->interim_responses = 0;
     c->writing = true;
     c->call->sent_any = true;
     if (c->call->call.echoed_header)
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -18,7 +18,7 @@
 // Accepts connections and answers the n-th request on each of them with the
 // n-th script. An empty script closes the connection and "reset" resets it.
 // After a script that ends with "close" or "cut", the connection is closed or
-// reset.
+// reset. A final "<close>" closes it and is not sent.
 struct scripted_server
 {
     scripted_server(asio::io_context& it, std::vector<std::string> answers,
@@ -73,15 +73,18 @@
     {
         // Shared because a handler that owned the text would copy it at each
         // write.
-        auto const script = std::make_shared<std::string const>(scripts[n]);
-        if (script->empty() || *script == "reset") {
+        constexpr std::string_view mark = "<close>";
+        bool const is_marked = scripts[n].ends_with(mark);
+        auto const script = std::make_shared<std::string const>(
+            scripts[n], 0, scripts[n].size() - (is_marked ? mark.size() : 0));
+        if ((script->empty() && !is_marked) || *script == "reset") {
             if (!script->empty())
                 s->set_option(asio::socket_base::linger(true, 0));
             s->close();
             return;
         }
         asio::async_write(*s, asio::buffer(*script), [=, this](auto ec, auto) {
-            if (script->ends_with("close"))
+            if (is_marked || script->ends_with("close"))
                 s->close();
             else if (script->ends_with("cut")) {
                 s->set_option(asio::socket_base::linger(true, 0));
@@ -337,6 +340,59 @@
     CHECK(p.connections == 2);
 }
 
+// The limits of one answer counted what earlier answers on the connection had.
+TEST_CASE("limits of an answer count for each call on a kept connection")
+{
+    asio::io_context io;
+    http_client client(io);
+    std::string script;
+    SECTION("interim answers")
+    {
+        for (int i = 0; i < 10; ++i)
+            script += "HTTP/1.1 102 Processing\r\n\r\n";
+        script += ok_answer;
+    }
+    SECTION("bytes of the body")
+    {
+        std::string const body(10'000'000, 'x');
+        script = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                 std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    scripted_server p(io, {script, script, script});
+    for (int i = 0; i < 3; ++i)
+        CHECK_FALSE(call(io, client, p.url()).result.error);
+    CHECK(p.connections == 1);
+}
+
+// A head that breaks off must not pass for an answer with an empty body.
+TEST_CASE("an answer that breaks off inside its head is no answer")
+{
+    asio::io_context io;
+    std::string const length = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                               "Content-Length: 2\r\n\r\n";
+    std::string const no_length =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    std::string const interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (auto const& head :
+         {length, no_length, interim + length, interim + no_length})
+        for (std::size_t n = 0; n < head.size(); ++n)
+            for (bool const kept : {false, true}) {
+                CAPTURE(head, n, kept);
+                auto const cut = head.substr(0, n) + "<close>";
+                std::vector<std::string> scripts{cut};
+                if (kept)
+                    scripts.insert(scripts.begin(), ok_answer);
+                http_client client(io);
+                scripted_server p(io, scripts);
+                if (kept)
+                    REQUIRE(call(io, client, p.url()).body == "ok");
+                auto const it = call(io, client, p.url());
+                CHECK(it.done);
+                CHECK(it.result.error);
+                CHECK(it.result.may_have_run);
+            }
+}
+
 TEST_CASE("an answer that is written twice is not taken for the answer to a "
           "later call with the same id")
 {
