--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -19,6 +19,7 @@
                    address const& metrics)
 {
     auto options = listener_options(n.options);
+    options.unwritten = n.unwritten;
     auto const listen = [&](address const& at, auto handler) {
         options.address = at.ip;
         options.port = at.port;
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -41,11 +41,25 @@
 
 using server = restinio::http_server_t<traits>;
 
+using write_counter = std::shared_ptr<std::size_t>;
+
+// Counts a write until the returned object and its copies are destroyed, which
+// is the case after the write, or when its connection is closed.
+std::shared_ptr<void> count_write(write_counter const& n)
+{
+    if (!n)
+        return {};
+    ++*n;
+    return {nullptr, [n](void*) {
+                --*n;
+            }};
+}
+
 class responder final : public http_responder
 {
 public:
-    explicit responder(restinio::request_handle_t request)
-        : request_(std::move(request))
+    responder(restinio::request_handle_t request, write_counter unwritten)
+        : request_(std::move(request)), unwritten_(std::move(unwritten))
     {
     }
 
@@ -57,7 +71,7 @@
         if (closes_)
             response.connection_close();
         response.set_body(std::move(body));
-        response.done();
+        response.done([counted = count_write(unwritten_)](auto const&) {});
     }
 
     void start(int status, header_list const& headers) override
@@ -78,7 +92,8 @@
         if (!stream_)
             return;
         stream_->append_chunk(std::move(data));
-        stream_->flush([on_written = std::move(on_written)](auto const& ec) {
+        stream_->flush([on_written = std::move(on_written),
+                        counted = count_write(unwritten_)](auto const& ec) {
             if (on_written)
                 on_written(ec);
         });
@@ -88,7 +103,7 @@
     {
         if (!stream_)
             return;
-        stream_->done();
+        stream_->done([counted = count_write(unwritten_)](auto const&) {});
         stream_.reset();
     }
 
@@ -119,6 +134,7 @@
     }
 
     restinio::request_handle_t request_;
+    write_counter unwritten_;
     restinio::impl::connection_handle_t connection_; // while streaming
     std::optional<stream> stream_;
     bool closes_ = false;
@@ -231,9 +247,11 @@
         .socket_options_setter([](restinio::socket_options_t& it) {
             it.set_option(asio::ip::tcp::no_delay(true));
         })
-        .request_handler([on_request = std::move(on_request)](auto request) {
+        .request_handler([on_request = std::move(on_request),
+                          unwritten = options.unwritten](auto request) {
             auto in = convert(*request);
-            auto out = std::make_shared<responder>(std::move(request));
+            auto out =
+                std::make_shared<responder>(std::move(request), unwritten);
             on_request(std::move(in), std::move(out));
             return restinio::request_accepted();
         });
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -102,9 +102,14 @@
 void perform(node&, core::order_endpoints const&) {}
 void perform(node&, core::report_pool_move const&) {}
 
+// Callers may still be reading their answers. Asked for again with every tick.
 void perform(node& n, core::exit_process const&)
 {
-    n.io.stop();
+    auto const& s = n.state;
+    bool const has_time =
+        s.now < s.leaving_since + core::duration(s.settings.drain_timeout);
+    if (*n.unwritten == 0 || !has_time)
+        n.io.stop();
 }
 
 void on_peer_bytes(node& n, link_id link, std::string const& bytes)
@@ -195,6 +200,7 @@
 void open_builtin_interfaces(node& n)
 {
     auto options = listener_options(n.options);
+    options.unwritten = n.unwritten;
     options.address = n.options.caller.ip;
     options.port = n.options.caller.port;
     options.on_close = [&n](auto id) {
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -72,6 +72,8 @@
     http_client client;
     // Null: the node uses its built-in interfaces.
     std::unique_ptr<runtime::adapter> platform_adapter;
+    // See http_server_options::unwritten; of all servers for callers.
+    std::shared_ptr<std::size_t> unwritten = std::make_shared<std::size_t>(0);
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> admin;
     std::unique_ptr<peer_links> links;
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -6,6 +6,8 @@
 #include "support/platform_fake.hpp"
 #include "support/raw_runners.hpp"
 
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <csignal>
@@ -51,7 +53,7 @@
 }
 
 void write_settings(platform_node const& n, platform_fake const& p,
-                    std::uint16_t ports)
+                    std::uint16_t ports, std::chrono::seconds grace = 8s)
 {
     std::ofstream(n.settings)
         << "node_name=" << n.name << "\nzone=zone-a\nip=127.0.0.1"
@@ -60,7 +62,7 @@
         << "\nplatform.address=" << p.store_address
         << "\ncloud_api.address=" << p.api_address
         << "\ncloud_api.duties=usage\nbounds.usage_window_s=1"
-        << "\nbounds.usage_late_s=2\nbounds.grace_s=8\n";
+        << "\nbounds.usage_late_s=2\nbounds.grace_s=" << grace.count() << "\n";
 }
 
 void start(platform_node& n)
@@ -71,7 +73,7 @@
 }
 
 platform_node make_node(std::string const& name, platform_fake const& p,
-                        std::uint16_t ports)
+                        std::uint16_t ports, std::chrono::seconds grace = 8s)
 {
     platform_node n;
     auto const folder = make_folder("platform-" + name);
@@ -81,7 +83,7 @@
     n.metrics = "127.0.0.1:" + std::to_string(ports + 14);
     n.settings = folder + "/settings";
     n.log = folder + "/log";
-    write_settings(n, p, ports);
+    write_settings(n, p, ports, grace);
     start(n);
     return n;
 }
@@ -417,6 +419,41 @@
     CHECK(p.nodes[0].run->wait(9s) == 0);
 }
 
+// The process ended when its last answer had been passed on to the connection,
+// though not yet written.
+TEST_CASE("a stopping node stays until slow callers have its answers")
+{
+    small_platform p;
+    std::string const body(12'000'000, 'b');
+    raw_runners raw(p.fake, "raw", {"i-8"},
+                    {"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
+                     "Content-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body});
+    std::this_thread::sleep_for(500ms); // until the entry is read
+    asio::io_context io;
+    asio::ip::tcp::socket caller(io);
+    auto const& front = p.nodes[0].front;
+    auto const port = std::stoi(front.substr(front.find(':') + 1));
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4'096));
+    caller.connect({asio::ip::address_v4::loopback(),
+                    static_cast<asio::ip::port_type>(port)});
+    asio::write(caller,
+                asio::buffer("GET /raw/x HTTP/1.1\r\nHost: h\r\n"
+                             "Authorization: Bearer k1\r\n" +
+                             std::string(wire::request_id) + ": id-1\r\n\r\n"));
+    std::this_thread::sleep_for(500ms);
+    p.nodes[0].run->signal(SIGTERM);
+    std::this_thread::sleep_for(5s);
+    std::string answer;
+    std::error_code ec;
+    asio::read(caller, asio::dynamic_buffer(answer), ec);
+    auto const head = answer.find("\r\n\r\n");
+    REQUIRE(head != answer.npos);
+    CHECK(answer.size() == head + 4 + body.size());
+    CHECK(p.nodes[0].run->wait(3s) == 0);
+}
+
 TEST_CASE("a node without peers runs no library thread that delays its stop")
 {
     platform_fake fake;
