Requests that are open at the end of the grace get an answer

Cause: the process exits at the drain's time-out, whatever is open. Test: platform processes, "each request of a stopping node gets an answer, whenever it comes": before the SIGTERM, 0.2, 2.7 and 3.3 s after it.

--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t max_decisions = 512;
 
 void on_append_done(node_state& s, append_done const& e, effects& out)
@@ -92,10 +94,32 @@
     send_heartbeats(s, out);
 }
 
+// Ends the requests that are still open shortly before the process exits, so
+// that their callers get an answer and learn whether they may have run.
+void end_open_requests(node_state& s, effects& out)
+{
+    auto const open = requests_where(s, [](auto const& r) {
+        return r.phase != request_phase::done &&
+               r.phase != request_phase::handed_over;
+    });
+    for (auto const& id : open) {
+        auto& r = s.requests.at(id);
+        if (r.phase != request_phase::done)
+            refuse_request(s, r,
+                           {502, outcome::not_run, step::shutdown, r.endpoint,
+                            "this node stopped before the answer was complete",
+                            0s},
+                           out);
+    }
+}
+
 void end_when_idle(node_state& s, effects& out)
 {
     if (!s.leaving)
         return;
+    if (s.now + s.settings.exit_linger >=
+        s.leaving_since + s.settings.drain_timeout)
+        end_open_requests(s, out);
     bool const in_progress =
         std::ranges::any_of(s.requests, [](auto const& it) {
             return it.second.phase != request_phase::done;
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -419,6 +419,57 @@
     CHECK(p.nodes[0].run->wait(9s) == 0);
 }
 
+// Requests that were still open when the process ended got no answer, so that
+// their callers did not learn whether they may have run.
+TEST_CASE("each request of a stopping node gets an answer, whenever it comes")
+{
+    constexpr auto grace = 5s;
+    small_platform p;
+    p.fake.add_runner({"i-2", "slow", "v1", false, 60s});
+    p.fake.put(wire::operator_topic, wire::configuration_key, R"({"routes":[
+{"name":"fast","host":"h","path_prefix":"/fast/","route_type":"idempotent",
+ "timeout_ms":30000,"service":"app","attempts":1},
+{"name":"safe","host":"h","path_prefix":"/safe/","route_type":"idempotent",
+ "timeout_ms":30000,"service":"slow","attempts":1},
+{"name":"order","host":"h","path_prefix":"/order/",
+ "route_type":"non_idempotent","timeout_ms":30000,"service":"slow",
+ "attempts":1},
+{"name":"none","host":"h","path_prefix":"/none/",
+ "route_type":"non_idempotent","timeout_ms":30000,"service":"none",
+ "attempts":1}],
+"services":[{"name":"app"},{"name":"slow"},{"name":"none"}],
+"tenants":[{"name":"acme","api_keys":["k1"]}]})");
+    auto& n = p.nodes.emplace_back(make_node("n3", p.fake, free_port(), grace));
+    REQUIRE(eventually(10s, [&] { return is_ready(n); }));
+    std::this_thread::sleep_for(1s); // until the entries are read
+    std::vector<call_plan> plans;
+    auto const add = [&](char const* path, std::chrono::milliseconds start) {
+        auto it = request(n, path, "id-" + std::to_string(plans.size()));
+        it.start = start;
+        plans.push_back(it);
+    };
+    constexpr auto stop = 500ms;
+    for (auto const at : {100ms, stop + 200ms, stop + 2'700ms})
+        for (auto const* const path : {"/fast/x", "/safe/x", "/order/x"})
+            add(path, at);
+    add("/fast/x", stop + 3'300ms);
+    add("/order/x", stop + 3'300ms);
+    std::thread stopper([&] {
+        std::this_thread::sleep_for(stop);
+        n.run->signal(SIGTERM);
+    });
+    auto const answers = run_calls(plans);
+    stopper.join();
+    CHECK(n.run->wait(grace) == 0);
+    for (std::size_t i = 0; i < plans.size(); ++i) {
+        CAPTURE(plans[i].path, plans[i].start.count(), answers[i].body);
+        bool const is_late = plans[i].start > stop + 3s;
+        bool const is_fast = plans[i].path == "/fast/x";
+        CHECK_FALSE(answers[i].broken);
+        CHECK(answers[i].status == (is_late ? 503 : is_fast ? 200 : 502));
+    }
+}
+
 // The process ended when its last answer had been passed on to the connection,
 // though not yet written.
 TEST_CASE("a stopping node stays until slow callers have its answers")
