Answers without end leave a node its memory

Cause: each answer had a limit, their sum had none; a stream was held whole for a continuation elsewhere; a caller's backlog was counted in events. Change: what is buffered or unwritten is limited to a quarter of the memory, and the largest answer that still arrives gives way; answers held for a continuation have the same limit, beyond which the largest are only passed on (event 411); a backlog is limited in bytes too. Test: platform processes (24 endless bodies, sound requests beside), and streams_test (endless events; large events to a slow caller).

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -623,6 +623,11 @@
     int max_queue = 2000; // waiting requests per organisation and pool
     // Chunks buffered for a slow caller before its call is paused.
     std::size_t max_backlog = 256;
+    // Bytes buffered for a slow caller before its call is paused.
+    std::size_t max_backlog_bytes = 1024 * 1024;
+    // Bytes of all answers that are held to be continued or sent again. Beyond
+    // it the largest ones are only passed on.
+    std::size_t max_held_bytes = 64UL * 1024 * 1024;
     int max_attempts = 4; // calls per request, if the route sets no limit
     // Plain services continue a stream after the last event that the caller
     // has, as model runners do after the last token.
@@ -1313,6 +1318,9 @@
     bool has_position = true;      // see answer_chunk::has_position
     bool paused = false;
     std::vector<std::string> chunks; // in order from 0
+    std::size_t held_bytes = 0;      // in `chunks`
+    bool passes_on_only = false;     // its sent chunks are not held
+    std::size_t undrained_bytes = 0; // sent and not yet written; upper bound
     // Chunks behind a gap, by index.
     std::map<std::uint64_t, std::string> early_chunks;
     std::uint64_t sent_chunks = 0;    // chunks passed to the runtime
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -422,7 +422,8 @@
 PAPAYAHOOK_JSON(pool_move_ordered, at, pool, to, within)
 PAPAYAHOOK_JSON(pool_move_reported, (move, "what"), ok)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
-                peer_address, capacity, max_queue, max_backlog, max_attempts,
+                peer_address, capacity, max_queue, max_backlog,
+                max_backlog_bytes, max_held_bytes, max_attempts,
                 resumes_plain_streams, retry_budget, retry_burst,
                 (retry_burst_nodes, "retry_sharers"), claim_batch,
                 append_budget, outcome_linger, max_shared_body,
--- a/src/core/claims.cpp
+++ b/src/core/claims.cpp
@@ -256,7 +256,8 @@
             rec.body += chunk;
         rec.status = r.status;
         rec.content_type = r.content_type;
-        if (rec.body.size() > s.settings.max_shared_body) {
+        bool const is_held = holds_whole_answer(r);
+        if (!is_held || rec.body.size() > s.settings.max_shared_body) {
             rec.body.clear();
             rec.status = 0;
         }
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -101,6 +101,8 @@
                     effects& out);
 // Handles the failures for which nothing is left to wait for.
 void release_held_failures(node_state& s, effects& out);
+// Keeps the bytes of the answers that are held below their limit.
+void limit_held_answers(node_state& s, effects& out);
 // Returns whether the answer so far is held from its first chunk on.
 bool holds_whole_answer(request_state const& r);
 // Returns whether endpoints of this kind continue a stream that another one
@@ -359,6 +361,7 @@
 inline constexpr int request_answered = 408;
 inline constexpr int caller_left = 409;
 inline constexpr int call_broken_off = 410;
+inline constexpr int answer_not_held = 411;
 inline constexpr int endpoint_leaving = 501;
 inline constexpr int endpoint_paused = 502;
 inline constexpr int handed_over = 503;
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -154,6 +154,7 @@
     refuse_paused_requests(s, out);
     check_progress_timeouts(s, out);
     release_held_failures(s, out);
+    limit_held_answers(s, out);
     retry_appends(s, out);
     flush_claims(s, out);
     expire_claims(s);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -44,7 +44,14 @@
 // that an answer can be shared. A plain body is retained only until it is sent.
 bool retains_chunks(request_state const& r)
 {
-    return r.request.via_model_path || !r.claim_key.empty();
+    return !r.passes_on_only &&
+           (r.request.via_model_path || !r.claim_key.empty());
+}
+
+void drop_chunk(request_state& r, std::string& data)
+{
+    r.held_bytes -= std::min(r.held_bytes, data.size());
+    data = {};
 }
 
 void send_pending(node_state& s, request_state& r, effects& out)
@@ -59,11 +66,13 @@
     for (; r.sent_chunks < r.chunks.size(); ++r.sent_chunks) {
         auto& data = r.chunks[r.sent_chunks];
         out.push_back(send_chunk{r.request.id, r.sent_chunks, data});
+        r.undrained_bytes += data.size();
         if (!retains_chunks(r))
-            data.clear();
+            drop_chunk(r, data);
     }
     bool const backlogged =
-        r.sent_chunks > r.drained_chunks + s.settings.max_backlog;
+        r.sent_chunks > r.drained_chunks + s.settings.max_backlog ||
+        r.undrained_bytes > s.settings.max_backlog_bytes;
     if (backlogged && r.call != 0 && !r.paused) {
         r.paused = true;
         out.push_back(pause_call{r.call});
@@ -236,7 +245,8 @@
 
 bool can_be_continued(request_state const& r)
 {
-    return !r.head_sent || (r.endpoint_resumes && r.has_position);
+    return !r.head_sent ||
+           (r.endpoint_resumes && r.has_position && !r.passes_on_only);
 }
 
 void stop_call(node_state& s, request_state& r, effects& out)
@@ -412,9 +422,11 @@
         count_usage(s, r->organisation);
     }
     r->chunks.push_back(e.data);
+    r->held_bytes += e.data.size();
     r->has_position = e.has_position;
     auto it = r->early_chunks.find(r->chunks.size());
     while (it != r->early_chunks.end()) {
+        r->held_bytes += it->second.size();
         r->chunks.push_back(std::move(it->second));
         r->early_chunks.erase(it);
         it = r->early_chunks.find(r->chunks.size());
@@ -498,6 +510,7 @@
         (outlives_caller && !stops_with_caller && !never_sent);
     if (continues) {
         r->drained_chunks = r->sent_chunks; // no caller to wait for
+        r->undrained_bytes = 0;
         if (r->paused && r->call != 0)
             out.push_back(resume_call{r->call});
         r->paused = false;
@@ -526,8 +539,11 @@
     if (r == nullptr)
         return;
     r->drained_chunks = std::max(r->drained_chunks, e.index);
+    if (r->drained_chunks >= r->sent_chunks)
+        r->undrained_bytes = 0;
     bool const caught_up =
-        r->sent_chunks <= r->drained_chunks + s.settings.max_backlog / 2;
+        r->sent_chunks <= r->drained_chunks + s.settings.max_backlog / 2 &&
+        r->undrained_bytes <= s.settings.max_backlog_bytes;
     if (r->paused && caught_up && r->call != 0) {
         r->paused = false;
         out.push_back(resume_call{r->call});
@@ -547,6 +563,7 @@
     r->caller_present = true;
     r->sent_chunks = e.from;
     r->drained_chunks = e.from;
+    r->undrained_bytes = 0;
     if (r->failure) {
         out.push_back(refuse{e.id, *r->failure});
         return;
@@ -561,6 +578,32 @@
         out.push_back(finish_answer{e.id});
 }
 
+void limit_held_answers(node_state& s, effects& out)
+{
+    std::size_t sum = 0;
+    for (auto const& [id, r] : s.requests)
+        sum += r.held_bytes;
+    if (sum <= s.settings.max_held_bytes)
+        return;
+    std::vector<std::pair<std::size_t, request_id>> held;
+    for (auto const& [id, r] : s.requests)
+        if (r.held_bytes > 0)
+            held.emplace_back(r.held_bytes, id);
+    std::ranges::sort(held, std::greater{});
+    for (auto const& [bytes, id] : held) {
+        if (sum <= s.settings.max_held_bytes)
+            break;
+        auto& r = s.requests.at(id);
+        r.passes_on_only = true;
+        for (std::size_t n = 0; n < r.sent_chunks; ++n)
+            drop_chunk(r, r.chunks[n]);
+        sum -= bytes - r.held_bytes;
+        emit_log_event(out, events::answer_not_held, id, r.endpoint,
+                       std::to_string(bytes) + " bytes, " +
+                           std::to_string(held.size()) + " answers held");
+    }
+}
+
 // Ends an admitted request without its whole answer, whatever the cause. "Not
 // run" is reported only if no call may have run and none is open.
 void refuse_request(node_state& s, request_state& r, refusal why, effects& out)
--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -99,6 +99,11 @@
                       header_list const& headers);
     void on_call_data(node& n, core::call_id call, std::string_view data);
     void on_call_done(node& n, core::call_id call, http_result const& result);
+    // Gives up the call with the most buffered bytes if a call gets more than
+    // the node may buffer. Returns false if the call itself was given up.
+    bool make_room(node& n, core::call_id call, std::size_t bytes);
+    void fail_call(node& n, core::call_id call, std::string why);
+    std::optional<gateway_call> take_call(core::call_id call);
 
     protocol_codec codec_;
     std::unique_ptr<http_server> front_;
@@ -107,6 +112,7 @@
     std::map<core::request_id, open_caller> callers_;
     std::map<std::uint64_t, core::request_id> by_connection_;
     std::map<core::call_id, gateway_call> calls_;
+    std::size_t buffered_ = 0; // bytes in `calls_`
     std::uint64_t next_request_ = 1;
 };
 
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -18,6 +18,11 @@
     return it.streams ? codec::max_event_bytes : max_answer_bytes;
 }
 
+std::size_t buffered_bytes(gateway_call const& it)
+{
+    return it.body.size() + it.events.held.size();
+}
+
 std::vector<std::string> ids_of(std::vector<std::string> const& events)
 {
     std::vector<std::string> out;
@@ -96,9 +101,8 @@
 
 void gateway::carry_out(node& n, core::cancel_call const& it)
 {
-    auto const node = calls_.extract(it.call);
-    if (!node.empty())
-        n.client.cancel(node.mapped().transfer);
+    if (auto const call = take_call(it.call))
+        n.client.cancel(call->transfer);
 }
 
 void gateway::carry_out(node& n, core::pause_call const& it)
@@ -132,31 +136,30 @@
     auto found = calls_.find(call);
     if (found == calls_.end())
         return;
-    auto const& buffered =
-        found->second.streams ? found->second.events.held : found->second.body;
-    if (buffered.size() + data.size() > max_buffered_bytes(found->second)) {
-        n.client.cancel(calls_.extract(found).mapped().transfer);
-        handle(n, core::call_failed{call, core::step::receive, true,
-                                    "bytes without end that are no answer"});
+    if (buffered_bytes(found->second) + data.size() >
+        max_buffered_bytes(found->second)) {
+        fail_call(n, call, "bytes without end that are no answer");
         return;
     }
+    if (!make_room(n, call, data.size()))
+        return;
     if (!found->second.streams) {
         found->second.body += data;
+        buffered_ += data.size();
         return;
     }
+    auto const before = buffered_bytes(found->second);
     auto const events = codec::split_events(found->second.events, data);
+    buffered_ += buffered_bytes(found->second) - before;
     for (auto const& it : events) {
         found = calls_.find(call);
         if (found == calls_.end())
             return; // handling an earlier event ended the call
         auto& r = found->second;
         if (is_repeated(r, it.id)) {
-            auto const node = calls_.extract(found);
-            n.client.cancel(node.mapped().transfer);
-            handle(n, core::call_failed{
-                          call, core::step::receive, true,
-                          "event " + it.id + ", but the stream continues " +
-                              "after " + node.mapped().passed_ids.back()});
+            fail_call(n, call,
+                      "event " + it.id + ", but the stream continues after " +
+                          r.passed_ids.back());
             return;
         }
         // Receivers do not count comments, which therefore may be repeated.
@@ -171,13 +174,42 @@
     }
 }
 
+std::optional<gateway_call> gateway::take_call(core::call_id call)
+{
+    auto node = calls_.extract(call);
+    if (node.empty())
+        return std::nullopt;
+    buffered_ -= buffered_bytes(node.mapped());
+    return std::move(node.mapped());
+}
+
+void gateway::fail_call(node& n, core::call_id call, std::string why)
+{
+    if (auto const it = take_call(call))
+        n.client.cancel(it->transfer);
+    handle(n,
+           core::call_failed{call, core::step::receive, true, std::move(why)});
+}
+
+bool gateway::make_room(node& n, core::call_id call, std::size_t bytes)
+{
+    if (buffered_ + *n.unwritten + bytes <= n.options.max_answer_bytes)
+        return true;
+    auto const largest =
+        std::ranges::max_element(calls_, {}, [](auto const& it) {
+            return buffered_bytes(it.second);
+        })->first;
+    fail_call(n, largest, "answers take more memory than this node has");
+    return largest != call;
+}
+
 void gateway::on_call_done(node& n, core::call_id call,
                            http_result const& result)
 {
-    auto const node = calls_.extract(call);
-    if (node.empty())
+    auto call_state = take_call(call);
+    if (!call_state)
         return;
-    auto& r = node.mapped();
+    auto& r = *call_state;
     if (result.error) {
         handle(n, core::call_failed{call, step_of(result.step),
                                     result.may_have_run, result.error.message(),
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -44,14 +44,15 @@
 using write_counter = std::shared_ptr<std::size_t>;
 
 // Counts a write until the returned object and its copies are destroyed, which
-// is the case after the write, or when its connection is closed.
-std::shared_ptr<void> count_write(write_counter const& n)
+// is the case after the write, or when its connection is closed. A write
+// without a body has a head or an end.
+std::shared_ptr<void> count_write(write_counter const& n, std::size_t bytes = 0)
 {
     if (!n)
         return {};
-    ++*n;
-    return {nullptr, [n](void*) {
-                --*n;
+    *n += bytes + 1;
+    return {nullptr, [n, bytes](void*) {
+                *n -= bytes + 1;
             }};
 }
 
@@ -70,8 +71,9 @@
             response.append_header(name, value);
         if (closes_)
             response.connection_close();
+        auto counted = count_write(unwritten_, body.size());
         response.set_body(std::move(body));
-        response.done([counted = count_write(unwritten_)](auto const&) {});
+        response.done([counted = std::move(counted)](auto const&) {});
     }
 
     void start(int status, header_list const& headers) override
@@ -91,9 +93,10 @@
     {
         if (!stream_)
             return;
+        auto counted = count_write(unwritten_, data.size());
         stream_->append_chunk(std::move(data));
         stream_->flush([on_written = std::move(on_written),
-                        counted = count_write(unwritten_)](auto const& ec) {
+                        counted = std::move(counted)](auto const& ec) {
             if (on_written)
                 on_written(ec);
         });
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -75,7 +75,7 @@
     std::chrono::milliseconds idle_timeout{60'000};  // between requests
     std::chrono::milliseconds write_timeout{30'000}; // per write
     std::function<void(std::uint64_t connection_id)> on_close;
-    // May be empty. Counts writes of answers that the kernel has not taken yet;
+    // May be empty. Counts the bytes of answers that are not yet written;
     // several servers may share it.
     std::shared_ptr<std::size_t> unwritten;
 };
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -34,6 +34,9 @@
     std::vector<std::string> peer_keys; // the first signs, any is accepted
     std::size_t max_body_bytes = 4 * 1024 * 1024;
     std::size_t max_header_bytes = 16 * 1024;
+    // Bytes of all answers that are buffered or not yet written. Beyond it the
+    // largest answer that is still arriving is given up.
+    std::size_t max_answer_bytes = 64UL * 1024 * 1024;
     std::size_t max_header_count = 64;
     std::size_t max_connections = 4096;
     std::size_t max_peer_message_bytes = 16 * 1024 * 1024;
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -62,7 +62,8 @@
         << "\nplatform.address=" << p.store_address
         << "\ncloud_api.address=" << p.api_address
         << "\ncloud_api.duties=usage\nbounds.usage_window_s=1"
-        << "\nbounds.usage_late_s=2\nbounds.grace_s=" << grace.count() << "\n";
+        << "\nbounds.usage_late_s=2\nbounds.grace_s=" << grace.count()
+        << "\nlimits.memory_mb=160\n";
 }
 
 void start(platform_node& n)
@@ -345,6 +346,40 @@
     }
 }
 
+// Each body was buffered up to its own limit, whatever the others held.
+TEST_CASE("bodies without end at many calls leave a node its memory")
+{
+    constexpr std::size_t calls = 24;
+    constexpr std::size_t memory_limit = 160'000'000; // see write_settings()
+    small_platform p;
+    auto const endless = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n\r\n" +
+                         std::string(15'000'000, 'x');
+    raw_runners raw(p.fake, "raw", {"i-7", "i-8", "i-9"},
+                    std::vector(calls, endless));
+    auto& n = p.nodes.emplace_back(make_node("n3", p.fake, free_port()));
+    REQUIRE(eventually(10s, [&] { return is_ready(n); }));
+    std::this_thread::sleep_for(500ms); // until the entries are read
+    std::vector<call_plan> plans;
+    for (std::size_t i = 0; i < calls; ++i)
+        plans.push_back(request(n, "/raw/x", "id-" + std::to_string(i)));
+    for (int i = 0; i < 30; ++i) {
+        auto it = request(n, "/p/x", "sound-" + std::to_string(i));
+        it.start = 100ms * i;
+        plans.push_back(it);
+    }
+    auto const answers = run_calls(plans);
+    for (std::size_t i = 0; i < plans.size(); ++i) {
+        CAPTURE(plans[i].path);
+        if (plans[i].path == "/p/x")
+            CHECK(answers[i].status == 200);
+        else
+            CHECK(answers[i].status != 200);
+    }
+    auto const peak = usage_of(n.run->id()).peak_bytes;
+    CHECK(peak > 0);
+    CHECK(peak < memory_limit);
+}
+
 TEST_CASE("odd entries among those of the runners stop no node")
 {
     constexpr std::size_t depth = 100'000;
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -278,6 +278,82 @@
     CHECK(std::holds_alternative<core::resume_call>(out[0]));
 }
 
+// Events without end were held whole for a continuation elsewhere.
+TEST_CASE("answers without end take bounded memory and stay open")
+{
+    auto w = make_world(1);
+    auto& n = w.nodes[0];
+    n.settings.max_held_bytes = 1'000'000;
+    n.settings.max_backlog_bytes = 100'000;
+    std::vector<core::request_id> ids;
+    for (int i = 0; i < 5; ++i)
+        ids.push_back(ask_chat(w, 0));
+    auto const calls = w.dispatches;
+    for (auto const& it : calls)
+        give(w, 0, core::answer_head{it.what.call, 200, "text/event-stream"});
+    std::string const event(1'000, 'x');
+    std::size_t held = 0;
+    std::size_t most = 0;
+    for (std::uint64_t i = 0; i < 2'000; ++i) {
+        for (auto const& it : calls) {
+            // The last one is sound: it has few events.
+            if (i < 10 || it.what.call != calls.back().what.call)
+                give(w, 0, core::answer_chunk{it.what.call, i, event});
+            give(w, 0, core::caller_drained{it.what.id, i + 1});
+        }
+        if (i % 50 == 0)
+            pass_time(w, 50ms);
+        held = 0;
+        for (auto const& [id, r] : n.requests)
+            for (auto const& chunk : r.chunks)
+                held += chunk.size();
+        most = std::max(most, held);
+    }
+    // Limits are applied at ticks, and 4 kB arrive between two of these.
+    CHECK(most <= 1'000'000 + 50 * 4 * 1'000);
+    CHECK(n.calls.size() == 5);
+    // The sound one is still continued elsewhere.
+    w.dispatches.clear();
+    give(w, 0,
+         core::call_failed{calls.back().what.call, core::step::receive, true,
+                           "cut off"});
+    REQUIRE(w.dispatches.size() == 1);
+    CHECK(w.dispatches[0].what.resume_chunks.size() == 10);
+    // One that is not held is seen to break off.
+    give(w, 0,
+         core::call_failed{calls.front().what.call, core::step::receive, true,
+                           "cut off"});
+    CHECK(w.dispatches.size() == 1);
+    CHECK_FALSE(w.ends.at(calls.front().what.id).whole);
+}
+
+TEST_CASE("a slow caller of large events pauses the endpoint")
+{
+    auto w = make_world(1);
+    ask_chat(w, 0);
+    auto const call = w.dispatches.at(0).what.call;
+    give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+    core::effects out;
+    for (std::uint64_t i = 0; i < 3; ++i)
+        core::reduce(
+            w.nodes[0],
+            {w.now, core::answer_chunk{call, i, std::string(600'000, 'x')}},
+            out);
+    auto const count = [&](auto const& is) {
+        return std::ranges::count_if(out, is);
+    };
+    CHECK(count([](auto const& it) {
+              return std::holds_alternative<core::pause_call>(it);
+          }) == 1);
+    out.clear();
+    core::reduce(w.nodes[0],
+                 {w.now, core::caller_drained{w.dispatches.at(0).what.id, 3}},
+                 out);
+    CHECK(count([](auto const& it) {
+              return std::holds_alternative<core::resume_call>(it);
+          }) == 1);
+}
+
 TEST_CASE("an answer is sent again from the index that the caller asks for")
 {
     session s;
--- a/test/support/processes.cpp
+++ b/test/support/processes.cpp
@@ -157,8 +157,14 @@
     // field 3.
     auto const ticks = std::stol(all.at(11)) + std::stol(all.at(12));
     auto const pages = std::stol(all.at(21));
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    std::size_t peak_kb = 0;
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("VmHWM:"))
+            peak_kb = std::stoul(line.substr(line.find(':') + 1));
     return {std::chrono::milliseconds(ticks * 1000 / ::sysconf(_SC_CLK_TCK)),
-            static_cast<std::size_t>(pages * ::sysconf(_SC_PAGESIZE))};
+            static_cast<std::size_t>(pages * ::sysconf(_SC_PAGESIZE)),
+            peak_kb * 1024};
 }
 
 } // namespace papayahook::support
--- a/test/support/processes.hpp
+++ b/test/support/processes.hpp
@@ -47,6 +47,7 @@
 {
     std::chrono::milliseconds cpu{};
     std::size_t resident_bytes = 0;
+    std::size_t peak_bytes = 0; // of resident memory
 };
 usage usage_of(pid_t pid);
 
