A deeply nested message of a peer is refused, not decoded

Cause: the library's decoder recurses for nested items and for the pieces of strings without a length. Change: the heads of the items are walked first; more than 64 levels, or an item without a length, is refused.

--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -589,11 +589,76 @@
     return use_deflate ? deflate(out) : out;
 }
 
+namespace {
+
+// The library decodes nested items, and pieces of items without a length,
+// recursively.
+constexpr std::size_t max_cbor_depth = 64;
+
+// Reads the argument of a CBOR item (RFC 8949, section 3) and moves `at` behind
+// it; nullopt if the item has none.
+std::optional<std::uint64_t> read_cbor_argument(std::string_view bytes,
+                                                std::size_t& at)
+{
+    constexpr unsigned first_with_bytes = 24;
+    constexpr unsigned last_with_bytes = 27;
+    auto const info = static_cast<unsigned char>(bytes[at++]) & 0x1fU;
+    if (info < first_with_bytes)
+        return info;
+    auto const n = std::size_t{1} << (info - first_with_bytes);
+    if (info > last_with_bytes || n > bytes.size() - at)
+        return std::nullopt;
+    std::uint64_t out = 0;
+    for (auto const byte : bytes.substr(at, n))
+        out = out << 8U | static_cast<unsigned char>(byte);
+    at += n;
+    return out;
+}
+
+// Whether the bytes can be decoded without deep recursion. Bytes that are cut
+// off can; the decoder reports them.
+bool has_bounded_depth(std::string_view bytes)
+{
+    enum major_type
+    {
+        byte_string = 2,
+        text_string = 3,
+        array = 4,
+        map = 5,
+    };
+    std::vector<std::uint64_t> items_left{1}; // of each open item
+    std::size_t at = 0;
+    while (!items_left.empty() && at < bytes.size()) {
+        if (items_left.back() == 0) {
+            items_left.pop_back();
+            continue;
+        }
+        items_left.back()--;
+        auto const major = static_cast<unsigned char>(bytes[at]) >> 5U;
+        auto const n = read_cbor_argument(bytes, at);
+        if (!n)
+            return false;
+        if (major == byte_string || major == text_string)
+            at += std::min<std::uint64_t>(*n, bytes.size() - at);
+        else if (major == array || major == map)
+            items_left.push_back(*n);
+        if (major == map && *n > 0)
+            items_left.push_back(*n); // keys and values
+        if (items_left.size() > 2 * max_cbor_depth)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
 core::peer_message message_from_cbor(std::string const& bytes)
 {
     return with_context("peer message", [&] {
         auto const plain =
             is_deflated(bytes) ? inflate(bytes, max_inflated_bytes) : bytes;
+        if (!has_bounded_depth(plain))
+            throw std::invalid_argument("nested too deeply");
         return json::from_cbor(plain).get<core::peer_message>();
     });
 }
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -99,6 +99,23 @@
     }));
 }
 
+// The decoder recurses at each of these items, and ran out of stack.
+TEST_CASE("a deeply nested message of a peer is refused")
+{
+    for (auto const item :
+         {'\x81', '\x9f', '\xa1', '\xbf', '\x5f', '\x7f', '\xc1', '\xd8'}) {
+        std::string bytes(4'000'000, item);
+        CHECK_THROWS_AS(codec::message_from_cbor(bytes), std::invalid_argument);
+        // In a member that is read last
+        bytes = "\xa2\x61t\x61x\x61v" + bytes;
+        CHECK_THROWS_AS(codec::message_from_cbor(bytes), std::invalid_argument);
+    }
+    std::string maps;
+    for (int n = 0; n < 1'000'000; ++n)
+        maps += "\xa1\x61k"; // the value of each is the next one
+    CHECK_THROWS_AS(codec::message_from_cbor(maps), std::invalid_argument);
+}
+
 TEST_CASE("random bodies from a caller or from the log are refused")
 {
     REQUIRE(rc::check("caller", [](std::string const& body) {
