Small answers are not given up for want of memory

Answers that slow callers had not read could fail the small answers of others. An answer under 64 KiB is never given up. Test: platform processes (passes before, too: the fault needs the node at its limit to the byte).

--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -99,8 +99,8 @@
                       header_list const& headers);
     void on_call_data(node& n, core::call_id call, std::string_view data);
     void on_call_done(node& n, core::call_id call, http_result const& result);
-    // Gives up the call with the most buffered bytes if a call gets more than
-    // the node may buffer. Returns false if the call itself was given up.
+    // Gives up the call with the most buffered bytes if the node gets more than
+    // it may buffer. Returns false if `call` itself was given up.
     bool make_room(node& n, core::call_id call, std::size_t bytes);
     void fail_call(node& n, core::call_id call, std::string why);
     std::optional<gateway_call> take_call(core::call_id call);
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -12,6 +12,8 @@
 constexpr std::string_view event_stream_type = "text/event-stream";
 // Answers that are not streamed are buffered until they are complete.
 constexpr std::size_t max_answer_bytes = 16UL * 1024 * 1024;
+// Smaller answers are never given up for want of memory.
+constexpr std::size_t min_bytes_given_up = 64UL * 1024;
 
 std::size_t max_buffered_bytes(gateway_call const& it)
 {
@@ -195,12 +197,13 @@
 {
     if (buffered_ + *n.unwritten + bytes <= n.options.max_answer_bytes)
         return true;
-    auto const largest =
-        std::ranges::max_element(calls_, {}, [](auto const& it) {
-            return buffered_bytes(it.second);
-        })->first;
-    fail_call(n, largest, "answers take more memory than this node has");
-    return largest != call;
+    auto const largest = std::ranges::max_element(
+        calls_, {}, [](auto const& it) { return buffered_bytes(it.second); });
+    if (buffered_bytes(largest->second) < min_bytes_given_up)
+        return true;
+    auto const given_up = largest->first;
+    fail_call(n, given_up, "answers take more memory than this node has");
+    return given_up != call;
 }
 
 void gateway::on_call_done(node& n, core::call_id call,
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -505,29 +505,63 @@
     }
 }
 
+namespace {
+
+constexpr std::size_t large_body_bytes = 12'000'000;
+
+std::string large_answer()
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: " +
+           std::to_string(large_body_bytes) + "\r\n\r\n" +
+           std::string(large_body_bytes, 'b');
+}
+
+// Sends a request and does not read the answer.
+asio::ip::tcp::socket send_request(asio::io_context& io, platform_node const& n,
+                                   std::string const& path)
+{
+    asio::ip::tcp::socket out(io);
+    auto const port = std::stoi(n.front.substr(n.front.find(':') + 1));
+    out.open(asio::ip::tcp::v4());
+    out.set_option(asio::socket_base::receive_buffer_size(4'096));
+    out.connect({asio::ip::address_v4::loopback(),
+                 static_cast<asio::ip::port_type>(port)});
+    asio::write(out,
+                asio::buffer("GET " + path +
+                             " HTTP/1.1\r\nHost: h\r\n"
+                             "Authorization: Bearer k1\r\n" +
+                             std::string(wire::request_id) + ": id-1\r\n\r\n"));
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("slow callers of large answers do not fail the requests of others")
+{
+    constexpr int slow_callers = 6; // more than the node may buffer
+    small_platform p;
+    raw_runners raw(p.fake, "raw", {"i-8"},
+                    std::vector(slow_callers, large_answer()));
+    std::this_thread::sleep_for(500ms); // until the entry is read
+    asio::io_context io;
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int i = 0; i < slow_callers; ++i) {
+        callers.push_back(send_request(io, p.nodes[0], "/raw/x"));
+        std::this_thread::sleep_for(300ms);
+    }
+    for (int i = 0; i < 10; ++i)
+        CHECK(run_call(request(p.nodes[0], "/p/x", "id-2")).status == 200);
+}
+
 // The process ended when its last answer had been passed on to the connection,
 // though not yet written.
 TEST_CASE("a stopping node stays until slow callers have its answers")
 {
     small_platform p;
-    std::string const body(12'000'000, 'b');
-    raw_runners raw(p.fake, "raw", {"i-8"},
-                    {"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
-                     "Content-Length: " +
-                     std::to_string(body.size()) + "\r\n\r\n" + body});
+    raw_runners raw(p.fake, "raw", {"i-8"}, {large_answer()});
     std::this_thread::sleep_for(500ms); // until the entry is read
     asio::io_context io;
-    asio::ip::tcp::socket caller(io);
-    auto const& front = p.nodes[0].front;
-    auto const port = std::stoi(front.substr(front.find(':') + 1));
-    caller.open(asio::ip::tcp::v4());
-    caller.set_option(asio::socket_base::receive_buffer_size(4'096));
-    caller.connect({asio::ip::address_v4::loopback(),
-                    static_cast<asio::ip::port_type>(port)});
-    asio::write(caller,
-                asio::buffer("GET /raw/x HTTP/1.1\r\nHost: h\r\n"
-                             "Authorization: Bearer k1\r\n" +
-                             std::string(wire::request_id) + ": id-1\r\n\r\n"));
+    auto caller = send_request(io, p.nodes[0], "/raw/x");
     std::this_thread::sleep_for(500ms);
     p.nodes[0].run->signal(SIGTERM);
     std::this_thread::sleep_for(5s);
@@ -536,7 +570,7 @@
     asio::read(caller, asio::dynamic_buffer(answer), ec);
     auto const head = answer.find("\r\n\r\n");
     REQUIRE(head != answer.npos);
-    CHECK(answer.size() == head + 4 + body.size());
+    CHECK(answer.size() == head + 4 + large_body_bytes);
     CHECK(p.nodes[0].run->wait(3s) == 0);
 }
 
