--- a/fakes/common.hpp
+++ b/fakes/common.hpp
@@ -30,6 +30,8 @@
     std::chrono::microseconds prefill_per_token{100};
     // The process exits when it begins to answer a prompt with this text.
     std::string crash_on;
+    // Time from the end of its connections to the end of the process.
+    std::chrono::milliseconds crash_time{0};
 };
 
 struct orders_options
--- a/fakes/main.cpp
+++ b/fakes/main.cpp
@@ -70,6 +70,8 @@
         cxxopts::value<int>()->default_value("100"))(
         "crash-on", "exit on a prompt with this text",
         cxxopts::value<std::string>()->default_value(""))(
+        "crash-ms", "time from the end of its connections to its exit",
+        cxxopts::value<int>()->default_value("0"))(
         "work-ms", "time of one order",
         cxxopts::value<int>()->default_value("5"))(
         "retention", "entries kept per stream",
@@ -92,7 +94,8 @@
                  std::chrono::milliseconds(args["first-token-ms"].as<int>()),
                  std::chrono::microseconds(args["gap-us"].as<int>()),
                  std::chrono::microseconds(args["prefill-us"].as<int>()),
-                 args["crash-on"].as<std::string>()});
+                 args["crash-on"].as<std::string>(),
+                 std::chrono::milliseconds(args["crash-ms"].as<int>())});
         else if (kind == "orders")
             run_orders(io, {listen, std::chrono::milliseconds(
                                         args["work-ms"].as<int>())});
--- a/fakes/runner.cpp
+++ b/fakes/runner.cpp
@@ -133,6 +133,11 @@
     if (m.silent_after >= 0 &&
         g->next >= static_cast<std::uint64_t>(m.silent_after))
         return; // keeps its slot and sends nothing
+    if (g->crashes && m.options.crash_time > std::chrono::milliseconds(0)) {
+        g->out->abort();
+        after(m.io, m.options.crash_time, [] { std::_Exit(1); });
+        return;
+    }
     if (g->crashes)
         std::_Exit(1);
     if (m.die_after >= 0 && g->next >= static_cast<std::uint64_t>(m.die_after))
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -24,9 +24,9 @@
 // reach no endpoint.
 constexpr int max_free_connects = 4;
 constexpr std::size_t max_out_of_order_chunks = 4096;
-// Longest wait for the check of an endpoint. A check takes a round trip, unless
-// the endpoint's instance is gone.
-constexpr auto max_check_wait = 100ms;
+// Longest wait for the check of an endpoint. A check of one that has ended
+// takes a round trip, unless its instance is gone.
+constexpr auto max_check_wait = 150ms;
 
 void close_call(node_state& s, request_state& r)
 {
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -230,27 +230,86 @@
         n.client.resume(found->second.transfer);
 }
 
+namespace {
+
+// Time for which a connection must stay open: a process that ends may accept
+// connections until its listener is closed.
+constexpr auto check_hold_time = 100ms;
+constexpr int max_check_connects = 3;
+
+struct endpoint_check
+{
+    node& n;
+    core::check_endpoint what;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    int connects = 0;
+    std::array<char, 1> buf{};
+};
+using endpoint_check_ptr = std::shared_ptr<endpoint_check>;
+
+void report(endpoint_check& c, bool refuses)
+{
+    std::error_code ec; // ignored: the connection is given up anyway
+    c.timer.cancel();
+    c.socket.close(ec);
+    handle(c.n, core::endpoint_checked{c.what.endpoint, c.what.incarnation,
+                                       refuses});
+}
+
+// The operation on the socket ends with an error after this time.
+void close_after(endpoint_check_ptr const& c, std::chrono::milliseconds time)
+{
+    c->timer.expires_after(time);
+    c->timer.async_wait([c](auto ec) {
+        std::error_code ignored; // the connection is given up anyway
+        if (!ec)
+            c->socket.close(ignored);
+    });
+}
+
+void connect_to_endpoint(endpoint_check_ptr const& c, address const& at);
+
+void watch_connection(endpoint_check_ptr const& c, address const& at)
+{
+    close_after(c, check_hold_time);
+    c->socket.async_read_some(asio::buffer(c->buf), [c, at](auto ec, auto) {
+        bool const is_closed_by_peer =
+            ec && ec != asio::error::operation_aborted;
+        if (!is_closed_by_peer || c->connects >= max_check_connects) {
+            report(*c, false);
+            return;
+        }
+        std::error_code ignored; // a new connection follows
+        c->socket.close(ignored);
+        connect_to_endpoint(c, at);
+    });
+}
+
+void connect_to_endpoint(endpoint_check_ptr const& c, address const& at)
+{
+    c->connects++;
+    close_after(c, c->n.options.connect_timeout);
+    c->socket.async_connect(
+        {asio::ip::make_address(at.ip), at.port}, [c, at](auto ec) {
+            if (ec)
+                report(*c, ec == asio::error::connection_refused);
+            else
+                watch_connection(c, at);
+        });
+}
+
+} // namespace
+
 void perform(node& n, core::check_endpoint const& it)
 {
-    struct attempt
-    {
-        asio::ip::tcp::socket socket;
-        asio::steady_timer timer;
-    };
     auto const at = parse_address(it.address);
     if (!at)
         return;
-    auto const a = std::make_shared<attempt>(
-        attempt{asio::ip::tcp::socket(n.io),
-                asio::steady_timer(n.io, n.options.connect_timeout)});
-    a->timer.async_wait([a](auto) { a->socket.close(); });
-    a->socket.async_connect(
-        {asio::ip::make_address(at->ip), at->port}, [a, &n, it](auto ec) {
-            a->timer.cancel();
-            handle(n, core::endpoint_checked{
-                          it.endpoint, it.incarnation,
-                          ec == asio::error::connection_refused});
-        });
+    connect_to_endpoint(
+        std::make_shared<endpoint_check>(endpoint_check{
+            n, it, asio::ip::tcp::socket(n.io), asio::steady_timer(n.io)}),
+        *at);
 }
 
 // Each node polls a few endpoints per second and starts at an endpoint chosen
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -572,12 +572,15 @@
     CHECK(first_replay.find(got.request_id + "#4 ") != first_replay.npos);
 }
 
+// Runners that had closed their connections, but not yet their listener, were
+// taken for alive.
 TEST_CASE("a prompt that ends the runners that answer it is refused at all "
           "nodes after three of them")
 {
     fleet_options o;
     o.runners = 6;
     o.crash_on = "boom";
+    o.crash_ms = GENERATE(0, 30);
     auto f = start_fleet(o);
     auto const ask = [&](std::size_t node) {
         return run_call(completion(f.node(node).caller, test_key, "chat",
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -236,7 +236,8 @@
     for (auto const& e : f.endpoint_records) {
         start_endpoint(f, e,
                        {"--gap-us", std::to_string(o.token_gap_us), "--work-ms",
-                        std::to_string(o.work_ms), "--crash-on", o.crash_on});
+                        std::to_string(o.work_ms), "--crash-on", o.crash_on,
+                        "--crash-ms", std::to_string(o.crash_ms)});
         config += endpoint_toml(e);
     }
     config += "[[route]]\nname = \"chat\"\npool = \"lm\"\nversion = \"v1\"\n"
--- a/test/support/fleet.hpp
+++ b/test/support/fleet.hpp
@@ -49,6 +49,8 @@
     std::string limits;   // lines of the [limits] section
     std::string routes;   // TOML of additional records
     std::string crash_on; // runners exit on prompts with this text
+    // Time from the end of a runner's connections to its exit.
+    int crash_ms = 0;
     std::size_t retention = 1'000'000;
     bool log_runs = true;
 };
