--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -160,6 +160,8 @@
     r.content_type = e.content_type;
     r.head_sent = e.head_sent;
     r.chunks = e.chunks;
+    for (auto const& it : r.chunks)
+        r.held_bytes += it.size();
     r.first_chunk_seen = !e.chunks.empty();
     r.failure = e.failure;
     r.offer_number = e.offer;
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -300,8 +300,10 @@
     r.early_chunks.clear();
     r.total_chunks.reset();
     r.endpoint_resumes = resumes_streams(s, r, e.kind);
-    if (!r.endpoint_resumes || !r.has_position)
+    if (!r.endpoint_resumes || !r.has_position) {
         r.chunks.clear(); // the new answer replaces one that nobody has seen
+        r.held_bytes = 0;
+    }
     r.has_position = true;
     begin_prefill(s, r, e);
     s.endpoints[endpoint].in_flight++;
@@ -587,7 +589,7 @@
         return;
     std::vector<std::pair<std::size_t, request_id>> held;
     for (auto const& [id, r] : s.requests)
-        if (r.held_bytes > 0)
+        if (r.held_bytes > 0 && !r.passes_on_only)
             held.emplace_back(r.held_bytes, id);
     std::ranges::sort(held, std::greater{});
     for (auto const& [bytes, id] : held) {
