--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -281,6 +281,23 @@
     s.in_flight[r.organisation]--;
 }
 
+namespace {
+
+// Keeps the answer so far if the endpoint continues it.
+void begin_answer(node_state const& s, request_state& r, endpoint_kind kind)
+{
+    r.early_chunks.clear();
+    r.total_chunks.reset();
+    r.endpoint_resumes = resumes_streams(s, r, kind);
+    if (!r.endpoint_resumes || !r.has_position) {
+        r.chunks.clear(); // the new answer replaces one that nobody has seen
+        r.held_bytes = 0;
+    }
+    r.has_position = true;
+}
+
+} // namespace
+
 void start_call(node_state& s, request_state& r, std::string const& endpoint,
                 std::string const& version, effects& out)
 {
@@ -297,14 +314,7 @@
     r.progress_at = s.now;
     r.answering_since = {};
     s.calls[r.call] = r.request.id;
-    r.early_chunks.clear();
-    r.total_chunks.reset();
-    r.endpoint_resumes = resumes_streams(s, r, e.kind);
-    if (!r.endpoint_resumes || !r.has_position) {
-        r.chunks.clear(); // the new answer replaces one that nobody has seen
-        r.held_bytes = 0;
-    }
-    r.has_position = true;
+    begin_answer(s, r, e.kind);
     begin_prefill(s, r, e);
     s.endpoints[endpoint].in_flight++;
     s.limits[{e.pool, version}].in_flight++;
