--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -4,6 +4,7 @@
 #include "support/client.hpp"
 #include "support/fleet.hpp"
 #include "support/platform_fake.hpp"
+#include "support/platform_nodes.hpp"
 #include "support/raw_runners.hpp"
 
 #include <asio/read.hpp>
@@ -11,9 +12,7 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <sstream>
 
 using namespace papayahook;
@@ -21,123 +20,6 @@
 using namespace std::chrono_literals;
 namespace wire = platform::wire;
 
-namespace {
-
-constexpr char const* configuration = R"({"version":1,"routes":[
-{"name":"r","host":"h","path_prefix":"/p/","route_type":"idempotent",
- "timeout_ms":3000,"service":"app","attempts":1},
-{"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
- "timeout_ms":3000,"service":"app","attempts":1},
-{"name":"raw","host":"h","path_prefix":"/raw/","route_type":"streaming",
- "resumable":true,"timeout_ms":3000,"service":"raw","attempts":2},
-{"name":"raw-3","host":"h","path_prefix":"/raw-3/","route_type":"streaming",
- "resumable":true,"timeout_ms":3000,"service":"raw","attempts":3}],
-"services":[{"name":"app","health_path":"/health"},{"name":"raw"}],
-"tenants":[{"name":"acme","api_keys":["k1"]}]})";
-
-struct platform_node
-{
-    std::string name;
-    std::string front;     // address of the caller port
-    std::string readiness; // address of the readiness port
-    std::string metrics;   // address of the metrics port
-    std::string settings;  // path of the settings file
-    std::string log;       // path of the log file
-    std::unique_ptr<process> run;
-};
-
-std::string read_file(std::string const& file)
-{
-    std::ifstream in(file);
-    return {std::istreambuf_iterator<char>(in), {}};
-}
-
-void write_settings(platform_node const& n, platform_fake const& p,
-                    std::uint16_t ports, std::chrono::seconds grace = 8s)
-{
-    std::ofstream(n.settings)
-        << "node_name=" << n.name << "\nzone=zone-a\nip=127.0.0.1"
-        << "\nlisten.front=" << n.front << "\nlisten.readiness=" << n.readiness
-        << "\ninternal_ports=" << ports << ',' << ports + 15
-        << "\nplatform.address=" << p.store_address
-        << "\ncloud_api.address=" << p.api_address
-        << "\ncloud_api.duties=usage\nbounds.usage_window_s=1"
-        << "\nbounds.usage_late_s=2\nbounds.grace_s=" << grace.count()
-        << "\nlimits.memory_mb=160\n";
-}
-
-void start(platform_node& n)
-{
-    setenv("PAPAYAHOOK_SETTINGS", n.settings.c_str(), 1);
-    n.run = std::make_unique<process>(
-        std::vector<std::string>{program("papayahook-node")}, n.log);
-}
-
-platform_node make_node(std::string const& name, platform_fake const& p,
-                        std::uint16_t ports, std::chrono::seconds grace = 8s)
-{
-    platform_node n;
-    auto const folder = make_folder("platform-" + name);
-    n.name = name;
-    n.front = "127.0.0.1:" + std::to_string(free_port());
-    n.readiness = "127.0.0.1:" + std::to_string(free_port());
-    n.metrics = "127.0.0.1:" + std::to_string(ports + 14);
-    n.settings = folder + "/settings";
-    n.log = folder + "/log";
-    write_settings(n, p, ports, grace);
-    start(n);
-    return n;
-}
-
-call_plan request(platform_node const& n, std::string const& path,
-                  std::string const& id, std::string const& key = "k1")
-{
-    call_plan it;
-    it.method = "GET";
-    it.address = n.front;
-    it.path = path;
-    it.key = key;
-    it.headers = {{"Host", "h"}, {wire::request_id, id}};
-    return it;
-}
-
-bool is_ready(platform_node const& n)
-{
-    call_plan it;
-    it.method = "GET";
-    it.address = n.readiness;
-    it.path = "/v1/readiness";
-    return run_call(it).status == 200;
-}
-
-// Returns the value of a metric without labels; NaN if the node has none.
-double gauge_of(platform_node const& n, std::string const& name)
-{
-    auto const text = get(n.metrics, "/metrics");
-    auto const at = text.find("\n" + name + " ");
-    return at == text.npos ? std::nan("")
-                           : std::stod(text.substr(at + name.size() + 2));
-}
-
-// A fake platform with one runner, and two nodes that are ready.
-struct small_platform
-{
-    platform_fake fake;
-    std::vector<platform_node> nodes;
-
-    small_platform()
-    {
-        fake.put(wire::operator_topic, wire::configuration_key, configuration);
-        fake.add_runner({"i-1", "app"});
-        for (auto const* const name : {"n1", "n2"})
-            nodes.push_back(make_node(name, fake, free_port()));
-        REQUIRE(eventually(
-            10s, [&] { return is_ready(nodes[0]) && is_ready(nodes[1]); }));
-    }
-};
-
-} // namespace
-
 TEST_CASE("requests are checked, passed to a runner and answered")
 {
     small_platform p;
