Events: each signal, and what was open when the process ended

Lines could not tell a second stop signal from an end at the grace's limit, nor say whether anything was cut off. Event 107 logs each signal with its number in the series and what was open, event 103 what was open at the end. No change of behaviour.

--- a/src/runtime/logging.hpp
+++ b/src/runtime/logging.hpp
@@ -16,6 +16,7 @@
 inline constexpr int lines_dropped = 104;
 inline constexpr int settings_reloaded = 105;
 inline constexpr int settings_kept = 106;
+inline constexpr int signal_received = 107;
 inline constexpr int entry_skipped = 207;
 inline constexpr int store_failed = 305;
 inline constexpr int api_failed = 804;
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -177,18 +177,42 @@
     });
 }
 
+// What an end of the process at this moment would cut off.
+std::string describe_open(node const& n)
+{
+    auto const open =
+        std::ranges::count_if(n.state.requests, [](auto const& it) {
+            return it.second.phase != core::request_phase::done;
+        });
+    return std::to_string(open) + " requests open, " +
+           std::to_string(*n.unwritten) + " bytes not written";
+}
+
+int stop_signals(node const& n)
+{
+    auto const seen = [&](int number) {
+        auto const it = n.signals_seen.find(number);
+        return it == n.signals_seen.end() ? 0 : it->second;
+    };
+    return seen(SIGTERM) + seen(SIGINT);
+}
+
 void wait_for_signal(node& n)
 {
     n.signals.async_wait([&n](auto ec, int number) {
         if (ec)
             return;
+        int const seen = ++n.signals_seen[number];
+        write_log({events::signal_received, n.options.core.name, "",
+                   "SIG" + std::string(sigabbrev_np(number)) + ", number " +
+                       std::to_string(seen) + "; " + describe_open(n)});
         if (number == SIGHUP) {
             if (n.platform_adapter)
                 n.platform_adapter->reload(n);
             wait_for_signal(n);
             return;
         }
-        if (++n.signals_seen > 1) {
+        if (stop_signals(n) > 1) {
             n.io.stop();
             return;
         }
@@ -357,8 +381,10 @@
                        n.options.peer.text()});
         tick(n);
         n.io.run();
-        write_log({events::node_stopped, n.options.core.name, "", ""});
-        result = n.signals_seen > 1 ? 1 : 0;
+        write_log({events::node_stopped, n.options.core.name, "",
+                   describe_open(n) + ", " + std::to_string(stop_signals(n)) +
+                       " stop signals"});
+        result = stop_signals(n) > 1 ? 1 : 0;
     }
     catch (std::system_error const& e) {
         std::cerr << "listen: " << e.what() << '\n';
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -82,7 +82,7 @@
     std::deque<core::event> events; // queued while another one is handled
     bool handling = false;
     std::optional<core::time_point> wake_at; // time of the pending extra tick
-    int signals_seen = 0;
+    std::map<int, int> signals_seen; // by signal number
     std::uint64_t next_request = 1;
     std::map<core::request_id, open_request> requests;
     std::map<core::call_id, open_call> calls;
