Stop signals in series: the drain that the first began goes on

Callers lost the requests that were open when a second SIGTERM or SIGINT came: the handler stopped the loop at once, and the process ended with status 1. SIGUSR1 and SIGUSR2 had their default action and ended the process.

Now no signal hastens or prolongs a drain, and SIGUSR1 and SIGUSR2 are logged (event 107). A drain ends by itself at drain_timeout; an operator who wants less has SIGKILL and SIGQUIT (docs/OPERATIONS.md).

The fake runner can space the events of its streams.

--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -188,15 +188,7 @@
            std::to_string(*n.unwritten) + " bytes not written";
 }
 
-int stop_signals(node const& n)
-{
-    auto const seen = [&](int number) {
-        auto const it = n.signals_seen.find(number);
-        return it == n.signals_seen.end() ? 0 : it->second;
-    };
-    return seen(SIGTERM) + seen(SIGINT);
-}
-
+// No signal, however often it comes, cuts short what an earlier one began.
 void wait_for_signal(node& n)
 {
     n.signals.async_wait([&n](auto ec, int number) {
@@ -206,21 +198,22 @@
         write_log({events::signal_received, n.options.core.name, "",
                    "SIG" + std::string(sigabbrev_np(number)) + ", number " +
                        std::to_string(seen) + "; " + describe_open(n)});
-        if (number == SIGHUP) {
-            if (n.platform_adapter)
-                n.platform_adapter->reload(n);
-            wait_for_signal(n);
-            return;
-        }
-        if (stop_signals(n) > 1) {
-            n.io.stop();
-            return;
-        }
-        handle(n, core::shutdown_requested{});
+        if (number == SIGHUP && n.platform_adapter)
+            n.platform_adapter->reload(n);
+        if (number == SIGTERM || number == SIGINT)
+            handle(n, core::shutdown_requested{});
         wait_for_signal(n);
     });
 }
 
+std::string describe_signals(node const& n)
+{
+    std::string out;
+    for (auto const& [number, seen] : n.signals_seen)
+        out += ", " + std::to_string(seen) + " SIG" + sigabbrev_np(number);
+    return out;
+}
+
 void open_builtin_interfaces(node& n)
 {
     auto options = listener_options(n.options);
@@ -266,9 +259,10 @@
 node::node(settings it, std::unique_ptr<runtime::adapter> adapter)
     : options(std::move(it)), wall_at_start(std::chrono::system_clock::now()),
       boot_at_start(time_since_boot()), client(io),
-      platform_adapter(std::move(adapter)),
-      signals(io, SIGTERM, SIGINT, SIGHUP), tick_timer(io)
+      platform_adapter(std::move(adapter)), signals(io), tick_timer(io)
 {
+    for (int const it : {SIGHUP, SIGTERM, SIGINT, SIGUSR1, SIGUSR2})
+        signals.add(it);
     options.core.peer_address = options.peer.text();
     state.settings = options.core;
     state.settings.incarnation = static_cast<std::uint64_t>(
@@ -382,9 +376,7 @@
         tick(n);
         n.io.run();
         write_log({events::node_stopped, n.options.core.name, "",
-                   describe_open(n) + ", " + std::to_string(stop_signals(n)) +
-                       " stop signals"});
-        result = stop_signals(n) > 1 ? 1 : 0;
+                   describe_open(n) + describe_signals(n)});
     }
     catch (std::system_error const& e) {
         std::cerr << "listen: " << e.what() << '\n';
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -97,8 +97,10 @@
 };
 
 // node.cpp
-// Runs a node until it stops. Returns the exit code: 1 after a second stop
-// signal, 2 when an address cannot be bound, else 0.
+// Runs a node until SIGTERM or SIGINT has drained it, which takes at most
+// drain_timeout. Further signals neither hasten nor prolong that; only SIGQUIT
+// and SIGKILL end a process at once. Returns the exit code: 2 when an address
+// cannot be bound, else 0.
 int run_node(settings it, std::unique_ptr<adapter> platform_adapter);
 // Time since boot, including time suspended.
 std::chrono::nanoseconds time_since_boot();
--- a/test/support/platform_fake.cpp
+++ b/test/support/platform_fake.cpp
@@ -267,10 +267,13 @@
     }
     headers.emplace_back("Content-Type", "text/event-stream");
     out->start(200, headers);
+    std::chrono::milliseconds delay{0};
     for (auto const* const event :
-         {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"})
-        out->write(event, [](auto) {});
-    out->finish();
+         {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"}) {
+        run_after(delay, [out, event] { out->write(event, [](auto) {}); });
+        delay += r.event_gap;
+    }
+    run_after(delay, [out] { out->finish(); });
 }
 
 } // namespace papayahook::support
--- a/test/support/platform_fake.hpp
+++ b/test/support/platform_fake.hpp
@@ -19,6 +19,7 @@
     std::string version = "v1";
     bool fails = false;                    // answers 500
     std::chrono::milliseconds run_time{5}; // delay of the answer
+    std::chrono::milliseconds event_gap{0}; // between the events of a stream
 };
 
 struct api_call
