JSON documents replace bytes that are not UTF-8 instead of throwing

Callers saw: nothing that a report names; what throws in a handler ends the process or leaves it deaf. Cause: json::dump() throws type_error.316 on text that is no UTF-8. Safe as they are: is_utf8() (catches), content_text() (the text comes from json::parse, which checks it), json::parse(.., false) with at()/get() below a catch (caller_api, platform_client, documents, with_context). Evidence: 'text that is not UTF-8' failed 4 of 4 assertions before (json.exception .type_error.316, invalid UTF-8 byte at index 0: 0xFF).

--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -666,7 +666,7 @@
 std::string append_to_json(core::append const& it)
 {
     json out{{"id", it.id}, {"records", it.records}};
-    return out.dump();
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 core::log_read read_from_json(std::string const& stream,
@@ -700,7 +700,7 @@
 
 std::string duty_to_json(core::duty_record const& it)
 {
-    return json(it).dump();
+    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 core::duty_record duty_from_json(std::string const& text)
@@ -714,7 +714,7 @@
 
 std::string settings_to_line(core::node_settings const& it)
 {
-    return json(it).dump();
+    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 core::node_settings settings_from_line(std::string const& line)
@@ -726,7 +726,7 @@
 
 std::string config_to_json(core::configuration const& it)
 {
-    return config_json(it).dump(2);
+    return config_json(it).dump(2, ' ', false, json::error_handler_t::replace);
 }
 
 std::string state_to_json(core::node_state const& s)
--- a/test/exceptions_test.cpp
+++ b/test/exceptions_test.cpp
@@ -1,4 +1,5 @@
 // Tests that odd input ends no process and leaves none unable to serve.
+#include "codec/json.hpp"
 #include "platform/settings.hpp"
 #include "platform/wire.hpp"
 #include "support/fleet.hpp"
@@ -215,3 +216,20 @@
         CHECK(read_file(n.log).find(n.settings) != std::string::npos);
     }
 }
+
+TEST_CASE("text that is not UTF-8 is encoded and stops no handler")
+{
+    std::string const odd = "\xff\xfe\x80";
+    core::duty_record duty;
+    duty.holder = odd;
+    CHECK_NOTHROW(codec::duty_to_json(duty));
+    core::append append;
+    append.id = odd;
+    CHECK_NOTHROW(codec::append_to_json(append));
+    core::node_settings settings;
+    settings.name = odd;
+    CHECK_NOTHROW(codec::settings_to_line(settings));
+    core::configuration config;
+    config.routes[odd].value.name = odd;
+    CHECK_NOTHROW(codec::config_to_json(config));
+}
