Listeners go on accepting after an error, and refuse what is beyond the limit

What callers saw: no connection was taken any more, for good, once accept had failed one time (80 descriptors, 300 callers that connect and leave), or after some 4,096 callers that reset their connection before it was accepted.

Cause: RESTinio's acceptor does nothing when async_accept reports an error, so the loop ends; and its limiter counts an accept whose remote_endpoint() throws as under way for ever. At the limit, callers waited in the queue of the listener without an answer.

The server counts its connections by the notices of their state, and answers 503 with Retry-After beyond the limit; a refused caller gets a second to read it, and the oldest of more than 16 at once is closed.

--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,9 +1,13 @@
 #include "runtime/http_server.hpp"
 
 #include "codec/text.hpp"
+#include "runtime/accept_loop.hpp"
 
 #include <algorithm>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <cctype>
+#include <list>
 #include <optional>
 #include <restinio/all.hpp>
 
@@ -11,6 +15,9 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
 // With two pipelined requests RESTinio continues to read while an answer is
 // open, so that a closed connection is noticed at once and not at the next
 // write.
@@ -19,27 +26,36 @@
 constexpr std::chrono::hours handler_time_limit{24};
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
 
-struct close_listener
+// Counts the open connections, and reports those that are closed.
+struct state_listener
 {
     std::function<void(std::uint64_t)> on_close;
+    std::size_t open = 0;
 
     void state_changed(restinio::connection_state::notice_t const& n)
     {
-        bool const closed =
-            std::holds_alternative<restinio::connection_state::closed_t>(
-                n.cause());
-        if (closed && on_close)
+        using namespace restinio::connection_state;
+        if (std::holds_alternative<accepted_t>(n.cause()))
+            open++;
+        if (!std::holds_alternative<closed_t>(n.cause()))
+            return;
+        open--;
+        if (on_close)
             on_close(n.connection_id());
     }
 };
 
 struct traits : restinio::default_single_thread_traits_t
 {
-    using connection_state_listener_t = close_listener;
-    static constexpr bool use_connection_count_limiter = true;
+    using connection_state_listener_t = state_listener;
+    // RESTinio's limiter counts a connection that is reset before it is
+    // accepted for ever.
+    static constexpr bool use_connection_count_limiter = false;
 };
 
-using server = restinio::http_server_t<traits>;
+using settings = restinio::server_settings_t<traits>;
+using connection_settings = restinio::impl::connection_settings_t<traits>;
+using connection_factory = restinio::impl::connection_factory_t<traits>;
 
 using write_counter = std::shared_ptr<std::size_t>;
 
@@ -216,40 +232,127 @@
     return {};
 }
 
+namespace {
+
+// A connection that is closed with unread bytes is reset, which may destroy the
+// answer on its way, so a refused caller gets this time to read it and to
+// close.
+constexpr auto refusal_time = 1'000ms;
+// More refused callers at once are closed without waiting for the first ones.
+constexpr std::size_t max_refusals = 16;
+constexpr std::string_view refusal =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    "Connection: close\r\nContent-Type: text/plain\r\n"
+    "Content-Length: 21\r\n\r\ntoo many connections\n";
+
+struct refused_caller
+{
+    explicit refused_caller(tcp::socket it)
+        : socket(std::move(it)), timer(socket.get_executor())
+    {
+    }
+
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::array<char, 1024> unread{};
+};
+using refused_caller_ptr = std::shared_ptr<refused_caller>;
+
+void close(refused_caller& it)
+{
+    std::error_code ec; // ignored: the connection is given up anyway
+    it.timer.cancel();
+    it.socket.close(ec);
+}
+
+void discard_input(refused_caller_ptr const& it)
+{
+    it->socket.async_read_some(asio::buffer(it->unread), [it](auto ec, auto) {
+        if (ec)
+            close(*it);
+        else
+            discard_input(it);
+    });
+}
+
+void refuse(refused_caller_ptr const& it)
+{
+    it->timer.expires_after(refusal_time);
+    it->timer.async_wait([it](auto ec) {
+        if (!ec)
+            close(*it);
+    });
+    asio::async_write(it->socket, asio::buffer(refusal), [it](auto ec, auto) {
+        std::error_code ignored; // the connection ends anyway
+        if (!ec)
+            it->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    });
+    discard_input(it);
+}
+
+} // namespace
+
 struct http_server::impl
 {
-    std::unique_ptr<server> srv;
+    void on_accepted(tcp::socket socket);
+    void refuse_caller(tcp::socket socket);
+
+    std::size_t max_connections = 0;
+    std::shared_ptr<state_listener> listener =
+        std::make_shared<state_listener>();
+    std::unique_ptr<connection_factory> factory;
+    std::list<std::weak_ptr<refused_caller>> refused; // oldest first
+    std::optional<accept_loop> acceptor;
 };
 
+void http_server::impl::on_accepted(tcp::socket socket)
+{
+    std::error_code ec;
+    auto const caller = socket.remote_endpoint(ec);
+    if (ec)
+        return; // reset meanwhile
+    if (listener->open >= max_connections) {
+        refuse_caller(std::move(socket));
+        return;
+    }
+    socket.set_option(tcp::no_delay(true), ec); // ignored: only a speed-up
+    factory->create_new_connection(std::move(socket), caller, {nullptr})
+        ->init();
+}
+
+void http_server::impl::refuse_caller(tcp::socket socket)
+{
+    std::erase_if(refused, [](auto const& it) { return it.expired(); });
+    if (refused.size() >= max_refusals) {
+        if (auto const oldest = refused.front().lock())
+            close(*oldest);
+        refused.pop_front();
+    }
+    auto const it = std::make_shared<refused_caller>(std::move(socket));
+    refused.push_back(it);
+    refuse(it);
+}
+
 http_server::http_server(asio::io_context& io,
                          http_server_options const& options, handler on_request)
     : impl_(std::make_unique<impl>())
 {
-    auto listener = std::make_shared<close_listener>();
-    listener->on_close = options.on_close;
+    impl_->max_connections = options.max_connections;
+    impl_->listener->on_close = options.on_close;
     auto limits = restinio::incoming_http_msg_limits_t{}
                       .max_url_size(options.max_header_bytes)
                       .max_field_name_size(options.max_header_bytes)
                       .max_field_value_size(options.max_header_bytes)
                       .max_field_count(options.max_header_count)
                       .max_body_size(options.max_body_bytes);
-    restinio::server_settings_t<traits> settings;
-    settings.address(options.address)
-        .port(options.port)
-        .max_pipelined_requests(max_pipelined_requests)
+    settings set;
+    set.max_pipelined_requests(max_pipelined_requests)
         .buffer_size(read_buffer_bytes)
         .handle_request_timeout(handler_time_limit)
         .read_next_http_message_timelimit(options.idle_timeout)
         .write_http_response_timelimit(options.write_timeout)
-        .max_parallel_connections(options.max_connections)
         .incoming_http_msg_limits(limits)
-        .connection_state_listener(listener)
-        .acceptor_options_setter([](restinio::acceptor_options_t& it) {
-            it.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-        })
-        .socket_options_setter([](restinio::socket_options_t& it) {
-            it.set_option(asio::ip::tcp::no_delay(true));
-        })
+        .connection_state_listener(impl_->listener)
         .request_handler([on_request = std::move(on_request),
                           unwritten = options.unwritten](auto request) {
             auto in = convert(*request);
@@ -258,16 +361,28 @@
             on_request(std::move(in), std::move(out));
             return restinio::request_accepted();
         });
-    impl_->srv = std::make_unique<server>(restinio::external_io_context(io),
-                                          std::move(settings));
-    impl_->srv->open_sync();
+    auto const timers = set.timer_factory()->create(io);
+    timers->start();
+    impl_->factory = std::make_unique<connection_factory>(
+        std::make_shared<connection_settings>(
+            set,
+            restinio::impl::create_parser_settings<
+                traits::http_methods_mapper_t>(),
+            timers),
+        set.socket_options_setter());
+    impl_->acceptor.emplace(
+        io,
+        tcp::endpoint(asio::ip::make_address(options.address), options.port),
+        [it = impl_.get()](auto socket) {
+            it->on_accepted(std::move(socket));
+        });
 }
 
 http_server::~http_server() = default;
 
 void http_server::stop()
 {
-    impl_->srv->close_sync();
+    impl_->acceptor->close();
 }
 
 } // namespace papayahook::runtime
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -71,7 +71,7 @@
     std::size_t max_body_bytes = 4 * 1024 * 1024;
     std::size_t max_header_bytes = 16 * 1024; // per field value or URL
     std::size_t max_header_count = 64;
-    std::size_t max_connections = 4096;
+    std::size_t max_connections = 4096; // further ones are refused with 503
     std::chrono::milliseconds idle_timeout{60'000};  // between requests
     std::chrono::milliseconds write_timeout{30'000}; // per write
     std::function<void(std::uint64_t connection_id)> on_close;
@@ -89,6 +89,8 @@
     http_server(asio::io_context& io, http_server_options const& options,
                 handler on_request);
     ~http_server();
+    // Accepts the connections that already wait, then stops listening. Open
+    // connections live on.
     void stop();
 
 private:
--- /dev/null
+++ b/test/accept_test.cpp
@@ -0,0 +1,286 @@
+// Tests that listeners go on accepting after errors, and that no kind of
+// connection takes the descriptors of another.
+#include "platform/wire.hpp"
+#include "runtime/http_client.hpp"
+#include "runtime/http_server.hpp"
+#include "runtime/settings.hpp"
+#include "support/fleet.hpp"
+#include "support/platform_nodes.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+#include <ranges>
+#include <thread>
+
+using namespace papayahook;
+using namespace papayahook::support;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+namespace wire = platform::wire;
+
+namespace {
+
+using sockets = std::vector<tcp::socket>;
+
+constexpr int few_descriptors = 80;
+// Of a core, while descriptors are short.
+constexpr double max_processor_share = 0.5;
+
+tcp::endpoint endpoint_of(std::string const& address)
+{
+    auto const at = runtime::parse_address(address);
+    return {asio::ip::make_address(at->ip), at->port};
+}
+
+tcp::socket connected(asio::io_context& io, std::string const& address)
+{
+    tcp::socket out(io);
+    out.connect(endpoint_of(address));
+    return out;
+}
+
+// Connects without waiting, because a full queue of the listener takes no more.
+sockets connect_many(asio::io_context& io, std::string const& address, int n)
+{
+    sockets out;
+    for (int i = 0; i < n; ++i) {
+        tcp::socket it(io);
+        it.open(tcp::v4());
+        it.non_blocking(true);
+        std::error_code ec; // "in progress" is expected
+        it.connect(endpoint_of(address), ec);
+        out.push_back(std::move(it));
+    }
+    return out;
+}
+
+void reset(sockets& all)
+{
+    for (auto& it : all) {
+        std::error_code ec; // may have failed to connect
+        it.set_option(asio::socket_base::linger(true, 0), ec);
+        it.close(ec);
+    }
+    all.clear();
+}
+
+std::string read_some(tcp::socket& from)
+{
+    std::array<char, 4096> buf{};
+    return {buf.data(), from.read_some(asio::buffer(buf))};
+}
+
+std::string read_all(tcp::socket& from)
+{
+    std::string out;
+    std::array<char, 4096> buf{};
+    for (std::error_code ec; !ec;) {
+        auto const n = from.read_some(asio::buffer(buf), ec);
+        out.append(buf.data(), n);
+    }
+    return out;
+}
+
+// A fake platform with one runner, and one node with few descriptors.
+struct limited_platform
+{
+    limited_platform()
+    {
+        fake.put(wire::operator_topic, wire::configuration_key, configuration);
+        fake.add_runner({"i-1", "app"});
+        auto const folder = make_folder("accept");
+        auto const ports = free_port();
+        auto const local = [](int port) {
+            return "127.0.0.1:" + std::to_string(port);
+        };
+        node.name = "n1";
+        node.front = local(free_port());
+        node.readiness = local(free_port());
+        node.metrics = local(ports + 14);
+        node.settings = folder + "/settings";
+        node.log = folder + "/log";
+        peer_address = local(ports);
+        write_settings(node, fake, ports);
+        auto const fds = std::to_string(few_descriptors);
+        std::ofstream(node.settings, std::ios::app)
+            << "limits.max_fds=" << fds << '\n';
+        setenv("PAPAYAHOOK_SETTINGS", node.settings.c_str(), 1);
+        node.run = std::make_unique<process>(
+            std::vector<std::string>{"/bin/sh", "-c",
+                                     "ulimit -n " + fds + " && exec \"$0\"",
+                                     program("papayahook-node")},
+            node.log);
+        REQUIRE(eventually(20s, [&] { return is_ready(node); }));
+    }
+
+    // Returns how many of ten requests are answered.
+    int answered(std::string const& name)
+    {
+        int out = 0;
+        for (int i = 0; i < 10; ++i) {
+            auto it = request(node, "/p/x", name + "-" + std::to_string(i));
+            it.timeout = 5s;
+            out += run_call(it).status == 200 ? 1 : 0;
+        }
+        return out;
+    }
+
+    // Processor time that the node uses from now on, as a share of a core.
+    double processor_share(std::chrono::milliseconds time) const
+    {
+        auto const before = usage_of(node.run->id()).cpu;
+        std::this_thread::sleep_for(time);
+        return (usage_of(node.run->id()).cpu - before) / (1.0 * time);
+    }
+
+    platform_fake fake;
+    platform_node node;
+    std::string peer_address;
+};
+
+struct small_server
+{
+    explicit small_server(std::size_t max_connections)
+    {
+        runtime::http_server_options options;
+        options.port = free_port();
+        options.max_connections = max_connections;
+        address = "127.0.0.1:" + std::to_string(options.port);
+        server = std::make_unique<runtime::http_server>(
+            io, options,
+            [](auto const&, auto const& out) { out->send(200, {}, "ok"); });
+    }
+
+    ~small_server()
+    {
+        io.stop();
+        if (thread.joinable())
+            thread.join();
+    }
+
+    // Until then, callers wait in the queue of the listener.
+    void run()
+    {
+        thread = std::thread([this] { io.run(); });
+    }
+
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work{
+        io.get_executor()};
+    std::string address;
+    std::unique_ptr<runtime::http_server> server;
+    std::thread thread;
+};
+
+void send_request(tcp::socket& to)
+{
+    asio::write(to, asio::buffer(std::string_view(
+                        "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+}
+
+bool gets_bytes(tcp::socket& caller)
+{
+    return eventually(5s, [&] { return caller.available() != 0; });
+}
+
+bool is_answered(tcp::socket& caller)
+{
+    send_request(caller);
+    return gets_bytes(caller);
+}
+
+} // namespace
+
+TEST_CASE("callers that reset their connection before it is accepted do not "
+          "use up the places of a listener")
+{
+    small_server s(4);
+    asio::io_context callers;
+    for (int i = 0; i < 8; ++i) {
+        sockets one;
+        one.push_back(connected(callers, s.address));
+        reset(one);
+    }
+    s.run();
+    auto caller = connected(callers, s.address);
+    CHECK(is_answered(caller));
+}
+
+TEST_CASE("callers that reset their connection before it is accepted do not "
+          "end the listener of a process")
+{
+    constexpr int rounds = 14;
+    constexpr int callers_per_round = 320;
+    limited_platform p;
+    asio::io_context io;
+    for (int i = 0; i < rounds; ++i) {
+        p.node.run->signal(SIGSTOP);
+        auto all = connect_many(io, p.node.front, callers_per_round);
+        std::this_thread::sleep_for(50ms);
+        reset(all);
+        p.node.run->signal(SIGCONT);
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(p.answered("after") == 10);
+}
+
+TEST_CASE("callers that used up all descriptors and left do not end the "
+          "listener of a process")
+{
+    limited_platform p;
+    asio::io_context io;
+    auto callers = connect_many(io, p.node.front, 300);
+    CHECK(p.processor_share(2s) < max_processor_share);
+    callers.clear();
+    CHECK(eventually(10s, [&] { return p.answered("after") == 10; }));
+}
+
+TEST_CASE("callers beyond the limit of a listener are refused at once, until "
+          "others leave")
+{
+    small_server s(2);
+    asio::io_context callers;
+    sockets all;
+    for (int i = 0; i < 40; ++i)
+        all.push_back(connected(callers, s.address));
+    s.run();
+    for (auto& it : all | std::views::drop(2)) {
+        auto const answer = read_all(it);
+        CHECK(answer.starts_with("HTTP/1.1 503 "));
+        CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+        CHECK(answer.ends_with("\r\n\r\ntoo many connections\n"));
+    }
+    CHECK(is_answered(all[0]));
+    CHECK(is_answered(all[1]));
+    all[0].close();
+    CHECK(eventually(5s, [&] {
+        auto caller = connected(callers, s.address);
+        send_request(caller);
+        return gets_bytes(caller) &&
+               !read_some(caller).starts_with("HTTP/1.1 503 ");
+    }));
+}
+
+TEST_CASE("a caller that waits in the queue of a listener is answered after "
+          "the listener has stopped")
+{
+    small_server s(8);
+    asio::io_context callers;
+    sockets all;
+    for (int i = 0; i < 5; ++i) {
+        all.push_back(connected(callers, s.address));
+        send_request(all.back());
+    }
+    s.server->stop();
+    s.run();
+    for (auto& it : all)
+        CHECK(gets_bytes(it));
+    tcp::socket late(callers);
+    std::error_code ec;
+    late.connect(endpoint_of(s.address), ec);
+    CHECK(ec == asio::error::connection_refused);
+}
