The body of a request is held in memory once

Cause: a body was copied four times on its way: RESTinio's request object, open_caller::request, http_call::body, and transfer::request_bytes until it was written; the first three for as long as the request runs.

Now http_request and http_call hold a shared_text, which points into RESTinio's request object; head and body are written as two buffers.

Nothing bounds the sum yet.

--- a/fakes/main.cpp
+++ b/fakes/main.cpp
@@ -39,7 +39,7 @@
 
 json parse_body(http_request const& in)
 {
-    auto out = json::parse(in.body, nullptr, false);
+    auto out = json::parse(in.body.get(), nullptr, false);
     return out.is_object() ? out : json::object();
 }
 
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -107,7 +107,7 @@
 {
     if (in.method != "POST")
         return bad_request{405, "POST is expected"};
-    auto const body = json::parse(in.body, nullptr, false);
+    auto const body = json::parse(in.body.get(), nullptr, false);
     if (!body.is_object())
         return bad_request{400, "the body is not a JSON object"};
     try {
@@ -142,7 +142,7 @@
     if (auto const why = read_headers(in, out.event); !why.empty())
         return bad_request{400, why};
     out.event.body_digest =
-        core::digest_of(in.method + "\n" + in.path + "\n" + in.body);
+        core::digest_of(in.method + "\n" + in.path + "\n" + in.body.get());
     if (in.path == "/v1/chat/completions")
         return parse_model_request(in, std::move(out), true);
     if (in.path == "/v1/completions")
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -186,8 +186,10 @@
     call.headers = forwarded_headers(r.request);
     call.headers.emplace_back("X-Request-Id", it.id);
     call.url = "http://" + it.address + (model ? r.request.path : r.path);
-    call.body = model ? runner_body(r.request.body, it.id, it.resume_chunks)
-                      : r.request.body;
+    call.body =
+        model
+            ? shared_text(runner_body(r.request.body, it.id, it.resume_chunks))
+            : r.request.body;
     call.connect_timeout = n.options.connect_timeout;
     call.fresh_connection = it.fresh_connection;
     // No limit: the body is forwarded as it arrives, at the caller's pace.
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -113,7 +113,8 @@
                   path.empty() ? std::string("/") : std::move(path)};
 }
 
-std::string serialize_request(http_call const& call, target const& to)
+// Returns all that precedes the body.
+std::string serialize_head(http_call const& call, target const& to)
 {
     std::string out;
     auto const add = [&](auto const&... parts) {
@@ -128,7 +129,7 @@
                             call.method == "PUT" || call.method == "PATCH";
     if (has_length)
         add("Content-Length: ", std::to_string(call.body.size()), "\r\n");
-    add("\r\n", call.body);
+    add("\r\n");
     return out;
 }
 
@@ -136,7 +137,7 @@
 {
     std::uint64_t id = 0;
     http_call call;
-    std::string request_bytes;
+    std::string head_bytes;
     int status = 0;
     bool sent_any = false;
     bool paused = false;
@@ -491,20 +492,23 @@
     c->call->sent_any = true;
     if (c->call->call.echoed_header)
         c->echoed_values.push_back(echo_hash(c->call->call));
-    auto const bytes =
-        std::make_shared<std::string>(std::move(c->call->request_bytes));
-    asio::async_write(c->socket, asio::buffer(*bytes),
-                      [c, bytes](auto ec, std::size_t) {
-                          c->writing = false;
-                          if (!c->client)
-                              return;
-                          if (!ec)
-                              finish(c);
-                          else if (c->complete)
-                              close(*c);
-                          // Otherwise an answer may still be readable; the
-                          // read reports the end of the connection.
-                      });
+    // The call may end before it is written.
+    auto const head =
+        std::make_shared<std::string>(std::move(c->call->head_bytes));
+    auto const body = c->call->call.body;
+    std::array<asio::const_buffer, 2> const bytes{asio::buffer(*head),
+                                                  asio::buffer(body.get())};
+    asio::async_write(c->socket, bytes, [c, head, body](auto ec, std::size_t) {
+        c->writing = false;
+        if (!c->client)
+            return;
+        if (!ec)
+            finish(c);
+        else if (c->complete)
+            close(*c);
+        // Otherwise an answer may still be readable; the
+        // read reports the end of the connection.
+    });
     read_more(c);
 }
 
@@ -602,7 +606,7 @@
         });
         return id;
     }
-    t->request_bytes = serialize_request(t->call, *to);
+    t->head_bytes = serialize_head(t->call, *to);
     auto const key = to->authority + "/" + t->call.connection_group;
     auto c =
         t->call.fresh_connection ? nullptr : take_idle(*impl_, key, t->call);
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -26,7 +26,7 @@
     std::string method = "GET";
     std::string url; // "http://ip:port/path?query"; no name resolution
     header_list headers;
-    std::string body;
+    shared_text body;
     // Calls with the same address and group share connections.
     std::string connection_group;
     // Name and value of a header that the server repeats in its answer. An
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -159,14 +159,17 @@
     bool closes_ = false;
 };
 
-http_request convert(restinio::request_t const& in)
+// The body stays in the request object, which RESTinio does not change.
+http_request convert(restinio::request_handle_t const& request)
 {
+    auto const& in = *request;
     http_request out;
     out.method = in.header().method().c_str();
     out.path = std::string(in.header().path());
     out.query = std::string(in.header().query());
     out.target = in.header().request_target();
-    out.body = in.body();
+    out.body =
+        shared_text(std::shared_ptr<std::string const>(request, &in.body()));
     out.connection_id = in.connection_id();
     in.header().for_each_field([&](auto const& field) {
         out.headers.emplace_back(field.name(), field.value());
@@ -355,7 +358,7 @@
         .connection_state_listener(impl_->listener)
         .request_handler([on_request = std::move(on_request),
                           unwritten = options.unwritten](auto request) {
-            auto in = convert(*request);
+            auto in = convert(request);
             auto out =
                 std::make_shared<responder>(std::move(request), unwritten);
             on_request(std::move(in), std::move(out));
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -2,6 +2,8 @@
 // RESTinio.
 #pragma once
 
+#include "runtime/shared_text.hpp"
+
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
@@ -39,7 +41,7 @@
     std::string query;  // without the question mark
     std::string target; // path and query as received
     header_list headers;
-    std::string body;
+    shared_text body;
     std::uint64_t connection_id = 0; // see http_server_options::on_close
 };
 
--- /dev/null
+++ b/test/request_memory_test.cpp
@@ -0,0 +1,117 @@
+// Memory of requests: real node processes on a fake platform.
+#include "platform/wire.hpp"
+#include "support/fleet.hpp"
+#include "support/platform_nodes.hpp"
+
+#include <algorithm>
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fstream>
+
+using namespace papayahook;
+using namespace std::chrono_literals;
+using support::call_plan;
+
+namespace {
+
+// Route /o/: orders, which run at most once.
+constexpr char const* orders = R"({"version":1,"routes":[
+{"name":"o","host":"h","path_prefix":"/o/","route_type":"non_idempotent",
+ "timeout_ms":20000,"service":"app","attempts":1}],
+"services":[{"name":"app","health_path":"/health"}],
+"tenants":[{"name":"acme","api_keys":["k1"]}]})";
+
+constexpr std::size_t megabyte = 1'000'000;
+constexpr std::size_t long_body = 4'190'000; // max_body_bytes is 4,194,304
+
+// A node with `memory_mb` whose three runners take `run_time` for an order.
+struct order_platform
+{
+    order_platform(int memory_mb, std::chrono::milliseconds run_time)
+    {
+        using namespace support;
+        fake.put(platform::wire::operator_topic,
+                 platform::wire::configuration_key, orders);
+        for (auto const* const name : {"i-1", "i-2", "i-3"})
+            fake.add_runner({name, "app", "v1", false, run_time});
+        auto const ports = free_port();
+        auto const folder = make_folder("request-memory");
+        node.name = "n1";
+        node.front = "127.0.0.1:" + std::to_string(free_port());
+        node.readiness = "127.0.0.1:" + std::to_string(free_port());
+        node.metrics = "127.0.0.1:" + std::to_string(ports + 14);
+        node.settings = folder + "/settings";
+        node.log = folder + "/log";
+        write_settings(node, fake, ports);
+        std::ofstream(node.settings, std::ios::app)
+            << "limits.memory_mb=" << memory_mb << '\n';
+        start(node);
+        REQUIRE(eventually(10s, [&] { return is_ready(node); }));
+    }
+
+    std::size_t resident()
+    {
+        return support::usage_of(node.run->id()).resident_bytes;
+    }
+    std::size_t peak() { return support::usage_of(node.run->id()).peak_bytes; }
+
+    support::platform_fake fake;
+    support::platform_node node;
+};
+
+call_plan order(order_platform const& p, int number, std::size_t bytes)
+{
+    auto out = support::request(p.node, "/o/x", "id-" + std::to_string(number));
+    out.method = "POST";
+    out.body.assign(bytes, 'x');
+    return out;
+}
+
+std::vector<call_plan> orders_of(order_platform const& p, int users,
+                                 std::size_t bytes)
+{
+    std::vector<call_plan> out;
+    for (int n = 0; n < users; ++n) {
+        out.push_back(order(p, n, bytes));
+        out.back().start = n * 50ms;
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a request in flight is held in memory once")
+{
+    order_platform p(260, 3s);
+    constexpr int users = 6;
+    auto const before = p.resident();
+    auto const answers = support::run_calls(orders_of(p, users, long_body));
+    CHECK(std::ranges::all_of(answers,
+                              [](auto const& it) { return it.status == 200; }));
+    auto const taken = p.peak() - before;
+    CAPTURE(before, taken);
+    // Once, and the copy that is made while a body grows.
+    CHECK(taken < 2 * users * long_body);
+}
+
+TEST_CASE("long orders of many users do not take a node over its memory")
+{
+    constexpr int users = 27;
+    order_platform p(260, 2s);
+    auto const answers = support::run_calls(orders_of(p, users, long_body));
+    auto const with_status = [&](int status) {
+        return std::ranges::count(answers, status,
+                                  &support::call_outcome::status);
+    };
+    int ran = 0;
+    for (auto const& [version, n] : p.fake.run_counts())
+        ran += n;
+    CAPTURE(p.peak() / megabyte, ran, with_status(200), with_status(503));
+    CHECK(p.node.run->runs());
+    CHECK(p.peak() < 260 * megabyte);
+    CHECK(with_status(200) == ran);
+    CHECK(with_status(200) + with_status(503) == users);
+    CHECK(with_status(200) > 0);
+}
--- a/test/support/platform_fake.cpp
+++ b/test/support/platform_fake.cpp
@@ -184,7 +184,7 @@
         send_json(out, 412, {{"end", topic.size()}});
         return;
     }
-    topic.push_back(in.body.substr(length_bytes));
+    topic.push_back(in.body.get().substr(length_bytes));
     send_json(out, 200, {{"offset", topic.size() - 1}, {"end", topic.size()}});
 }
 
