Signals before the event loop and after it stay pending

A SIGHUP or SIGTERM in the first milliseconds ended the process by its default action; so did any signal between the end of the loop and the exit, in place of status 0. A process that inherited a mask with SIGTERM never took the signal.

A stop before the listeners are open ends the process at once, a SIGHUP before them is carried out after the start.

--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -3,10 +3,10 @@
 
 #include "codec/json.hpp"
 #include "runtime/logging.hpp"
+#include "runtime/signals.hpp"
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <csignal>
 #include <iostream>
 
 namespace papayahook::runtime {
@@ -198,10 +198,13 @@
         write_log({events::signal_received, n.options.core.name, "",
                    "SIG" + std::string(sigabbrev_np(number)) + ", number " +
                        std::to_string(seen) + "; " + describe_open(n)});
-        if (number == SIGHUP && n.platform_adapter)
+        if (number == SIGHUP && n.platform_adapter && n.has_started)
             n.platform_adapter->reload(n);
-        if (number == SIGTERM || number == SIGINT)
+        if (number == SIGTERM || number == SIGINT) {
             handle(n, core::shutdown_requested{});
+            if (!n.has_started)
+                n.io.stop(); // it has accepted nothing
+        }
         wait_for_signal(n);
     });
 }
@@ -261,7 +264,7 @@
       boot_at_start(time_since_boot()), client(io),
       platform_adapter(std::move(adapter)), signals(io), tick_timer(io)
 {
-    for (int const it : {SIGHUP, SIGTERM, SIGINT, SIGUSR1, SIGUSR2})
+    for (int const it : handled_signals)
         signals.add(it);
     options.core.peer_address = options.peer.text();
     state.settings = options.core;
@@ -352,28 +355,49 @@
     handle(n, nodes_in_settings(n));
 }
 
+void start(node& n)
+{
+    open_links(n);
+    if (n.platform_adapter)
+        n.platform_adapter->start(n);
+    else
+        start_builtin_interfaces(n);
+    n.has_started = true;
+    if (n.platform_adapter && n.signals_seen.contains(SIGHUP))
+        n.platform_adapter->reload(n);
+    write_log({events::node_started, n.options.core.name, "",
+               "caller " + n.options.core.caller_address + " admin " +
+                   n.options.admin.text() + " peer " + n.options.peer.text()});
+    tick(n);
+}
+
+// Signals reach the handlers of node::signals while this object exists. It is
+// destroyed before them, so that none has its default action afterwards.
+struct signal_scope
+{
+    signal_scope() { unblock_signals(); }
+    signal_scope(signal_scope const&) = delete;
+    signal_scope& operator=(signal_scope const&) = delete;
+    ~signal_scope() { block_signals(); }
+};
+
 } // namespace
 
 int run_node(settings it, std::unique_ptr<adapter> platform_adapter)
 {
     int result = 0;
     try {
+        block_signals();
         node n(std::move(it), std::move(platform_adapter));
+        signal_scope const signals;
         if (!n.options.record_file.empty()) {
             n.recording.open(n.options.record_file);
             n.recording << codec::settings_to_line(n.state.settings) << '\n';
         }
-        open_links(n);
         wait_for_signal(n);
-        if (n.platform_adapter)
-            n.platform_adapter->start(n);
-        else
-            start_builtin_interfaces(n);
-        write_log({events::node_started, n.options.core.name, "",
-                   "caller " + n.options.core.caller_address + " admin " +
-                       n.options.admin.text() + " peer " +
-                       n.options.peer.text()});
-        tick(n);
+        n.io.poll(); // handles the signals that came before
+        if (!n.state.leaving)
+            start(n);
         n.io.run();
         write_log({events::node_stopped, n.options.core.name, "",
                    describe_open(n) + describe_signals(n)});
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -81,6 +81,7 @@
     asio::steady_timer tick_timer;
     std::deque<core::event> events; // queued while another one is handled
     bool handling = false;
+    bool has_started = false; // its listeners are open
     std::optional<core::time_point> wake_at; // time of the pending extra tick
     std::map<int, int> signals_seen; // by signal number
     std::uint64_t next_request = 1;
--- /dev/null
+++ b/src/runtime/signals.cpp
@@ -0,0 +1,28 @@
+#include "runtime/signals.hpp"
+
+namespace papayahook::runtime {
+
+namespace {
+
+void change_mask(int how) noexcept
+{
+    sigset_t all;
+    sigemptyset(&all);
+    for (int const it : handled_signals)
+        sigaddset(&all, it);
+    pthread_sigmask(how, &all, nullptr);
+}
+
+} // namespace
+
+void block_signals() noexcept
+{
+    change_mask(SIG_BLOCK);
+}
+
+void unblock_signals() noexcept
+{
+    change_mask(SIG_UNBLOCK);
+}
+
+} // namespace papayahook::runtime
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -6,8 +6,14 @@
 #include "support/platform_fake.hpp"
 #include "support/platform_nodes.hpp"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <sys/stat.h>
 
 using namespace papayahook;
 using namespace papayahook::support;
@@ -92,3 +98,183 @@
         CHECK(log.find(std::string("SIG") + sigabbrev_np(it.number)) !=
               log.npos);
 }
+
+namespace {
+
+constexpr auto signals_of_operators =
+    std::array{SIGHUP, SIGTERM, SIGINT, SIGUSR1, SIGUSR2};
+
+// Blocks the signals in this thread, as a supervisor may, which its children
+// inherit.
+class blocked_signals
+{
+public:
+    blocked_signals() { pthread_sigmask(SIG_BLOCK, &all(), &before_); }
+    blocked_signals(blocked_signals const&) = delete;
+    blocked_signals& operator=(blocked_signals const&) = delete;
+    ~blocked_signals() { pthread_sigmask(SIG_SETMASK, &before_, nullptr); }
+
+private:
+    static sigset_t const& all()
+    {
+        static sigset_t out;
+        sigemptyset(&out);
+        for (int const it : signals_of_operators)
+            sigaddset(&out, it);
+        return out;
+    }
+
+    sigset_t before_{};
+};
+
+// A node of either program with its settings.
+struct starting_node
+{
+    explicit starting_node(bool daemon) : is_daemon(daemon)
+    {
+        if (!daemon) {
+            n = settings_of_node("n1", fake, free_port());
+            read_at_start = n.settings;
+            return;
+        }
+        auto const folder = make_folder("papayahookd");
+        n.name = "n1";
+        n.settings = folder + "/settings";
+        n.log = folder + "/log";
+        read_at_start = folder + "/key";
+        std::ofstream(read_at_start) << "a key of peers, long enough\n";
+        auto const listen = [](char const* name) {
+            return std::string(name) +
+                   " = \"127.0.0.1:" + std::to_string(free_port()) + "\"\n";
+        };
+        std::ofstream(n.settings)
+            << "[node]\nname = \"n1\"\nzone = \"zone-a\"\n[listen]\n"
+            << listen("caller") << listen("admin") << listen("peer")
+            << "[platform]\nlog = \"" << fake.store_address
+            << "\"\ninstances = \"" << fake.store_address
+            << "\"\n[security]\npeer_key_files = [\"" << read_at_start
+            << "\"]\n";
+    }
+
+    void start()
+    {
+        if (!is_daemon)
+            support::start(n);
+        else
+            n.run = std::make_unique<process>(
+                std::vector<std::string>{program("papayahookd"), "--config",
+                                         n.settings},
+                n.log);
+    }
+
+    bool has_logged(std::string const& text) const
+    {
+        return read_file(n.log).find(text) != std::string::npos;
+    }
+
+    bool is_daemon;
+    platform_fake fake;
+    platform_node n;
+    std::string read_at_start; // a file that is read before the loop runs
+};
+
+bool ends_process(int number)
+{
+    return number == SIGTERM || number == SIGINT;
+}
+
+// Signals that the kernel holds back or passes to a handler.
+bool handles_signals(process const& it)
+{
+    std::istringstream in(
+        read_file("/proc/" + std::to_string(it.id()) + "/status"));
+    std::uint64_t handled = 0;
+    for (std::string line; std::getline(in, line);)
+        if (line.starts_with("SigBlk:") || line.starts_with("SigCgt:"))
+            handled |=
+                std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+    return std::ranges::all_of(signals_of_operators, [&](int number) {
+        return (handled >> (number - 1) & 1) != 0;
+    });
+}
+
+void check_signal_taken(starting_node& it, int number)
+{
+    CAPTURE(it.is_daemon, number);
+    if (ends_process(number)) {
+        CHECK(it.n.run->wait(10s) == 0);
+        return;
+    }
+    CHECK(eventually(10s, [&] {
+        return it.has_logged("event=101") &&
+               it.has_logged(std::string("SIG") + sigabbrev_np(number));
+    }));
+    CHECK(it.n.run->runs());
+}
+
+} // namespace
+
+TEST_CASE("a signal before the event loop runs is handled by it")
+{
+    bool const daemon = GENERATE(false, true);
+    auto const number = GENERATE(from_range(signals_of_operators));
+    starting_node it(daemon);
+    auto const file = it.read_at_start;
+    auto const text = read_file(file);
+    std::filesystem::remove(file);
+    REQUIRE(mkfifo(file.c_str(), 0600) == 0);
+    it.start();
+    std::ofstream pipe(file); // opens once the process reads it
+    for (int i = 0; i < 3; ++i)
+        it.n.run->signal(number);
+    std::this_thread::sleep_for(20ms);
+    REQUIRE(it.n.run->runs());
+    std::filesystem::remove(file);
+    std::ofstream(file) << text;
+    pipe << text;
+    pipe.close();
+    check_signal_taken(it, number);
+    CHECK(it.has_logged("event=101") != ends_process(number));
+}
+
+TEST_CASE("a signal at any moment of a start does not end the process by its "
+          "default action")
+{
+    bool const daemon = GENERATE(false, true);
+    bool const inherits_mask = GENERATE(false, true);
+    auto const number = GENERATE(from_range(signals_of_operators));
+    std::vector<std::unique_ptr<starting_node>> all;
+    for (auto const delay : {0ms, 1ms, 3ms, 5ms, 10ms, 30ms}) {
+        auto& it = *all.emplace_back(std::make_unique<starting_node>(daemon));
+        if (inherits_mask) {
+            blocked_signals const mask;
+            it.start();
+        }
+        else {
+            it.start();
+            while (it.n.run->runs() && !handles_signals(*it.n.run)) {
+            }
+        }
+        std::this_thread::sleep_for(delay);
+        it.n.run->signal(number);
+        it.n.run->signal(SIGHUP);
+        it.n.run->signal(number);
+    }
+    CAPTURE(inherits_mask);
+    for (auto const& it : all)
+        check_signal_taken(*it, number);
+}
+
+TEST_CASE("signals that come while a process ends leave its status 0")
+{
+    bool const daemon = GENERATE(false, true);
+    starting_node it(daemon);
+    it.start();
+    REQUIRE(eventually(10s, [&] { return it.has_logged("event=101"); }));
+    it.n.run->signal(SIGTERM);
+    std::size_t sent = 0;
+    while (it.n.run->runs())
+        it.n.run->signal(
+            signals_of_operators.at(sent++ % signals_of_operators.size()));
+    CHECK(it.n.run->wait(0ms) == 0);
+}
--- a/test/support/platform_nodes.cpp
+++ b/test/support/platform_nodes.cpp
@@ -40,8 +40,8 @@
         std::vector<std::string>{program("papayahook-node")}, n.log);
 }
 
-platform_node make_node(std::string const& name, platform_fake const& p,
-                        std::uint16_t ports, std::chrono::seconds grace)
+platform_node settings_of_node(std::string const& name, platform_fake const& p,
+                               std::uint16_t ports, std::chrono::seconds grace)
 {
     platform_node n;
     auto const folder = make_folder("platform-" + name);
@@ -52,6 +52,13 @@
     n.settings = folder + "/settings";
     n.log = folder + "/log";
     write_settings(n, p, ports, grace);
+    return n;
+}
+
+platform_node make_node(std::string const& name, platform_fake const& p,
+                        std::uint16_t ports, std::chrono::seconds grace)
+{
+    auto n = settings_of_node(name, p, ports, grace);
     start(n);
     return n;
 }
--- a/test/support/platform_nodes.hpp
+++ b/test/support/platform_nodes.hpp
@@ -47,6 +47,11 @@
                     std::chrono::seconds grace = std::chrono::seconds(8));
 // Starts the node's process with its settings file and log file.
 void start(platform_node& n);
+// A node that has settings and does not run yet.
+platform_node
+settings_of_node(std::string const& name, platform_fake const& p,
+                 std::uint16_t ports,
+                 std::chrono::seconds grace = std::chrono::seconds(8));
 platform_node make_node(std::string const& name, platform_fake const& p,
                         std::uint16_t ports,
                         std::chrono::seconds grace = std::chrono::seconds(8));
