Links of peers are accepted by the same loop, which pauses when resources lack

What was seen: with 80 descriptors used up by callers, 40 connections to the peer port took a whole core, because websocketpp repeats a failed accept at once; what the node serves was late by that.

Change: peer_links accepts with accept_loop and hands the sockets to websocketpp. A listener that cannot be opened names its address.

Ruled out: start_accept() throws only when the endpoint does not listen.

--- a/src/runtime/accept_loop.cpp
+++ b/src/runtime/accept_loop.cpp
@@ -35,12 +35,23 @@
     return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
+// Throws std::system_error that names the address.
+tcp::acceptor listen(asio::io_context& io, tcp::endpoint const& at)
+{
+    try {
+        return {io, at, true};
+    }
+    catch (std::system_error const& e) {
+        throw std::system_error(e.code(), text_of(at));
+    }
+}
+
 } // namespace
 
 struct accept_loop::impl : std::enable_shared_from_this<impl>
 {
     impl(asio::io_context& io, tcp::endpoint const& at, handler it)
-        : acceptor(io, at, true), pause(io), on_accepted(std::move(it)),
+        : acceptor(listen(io, at)), pause(io), on_accepted(std::move(it)),
           name(text_of(acceptor.local_endpoint()))
     {
         acceptor.non_blocking(true);
--- a/src/runtime/peer_links.cpp
+++ b/src/runtime/peer_links.cpp
@@ -1,6 +1,10 @@
 #include "runtime/peer_links.hpp"
 
+#include "runtime/accept_loop.hpp"
+
+#include <asio/post.hpp>
 #include <map>
+#include <optional>
 #include <system_error>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -31,6 +35,8 @@
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     bool stopped = false;
+    // websocketpp's own loop repeats a failed accept without a pause.
+    std::optional<accept_loop> acceptor;
 
     template <class Endpoint>
     void prepare(Endpoint& it, asio::io_context& io, std::size_t max_bytes)
@@ -66,6 +72,15 @@
         });
     }
 
+    void start_link(asio::ip::tcp::socket socket)
+    {
+        auto const con = incoming.get_connection();
+        if (!con)
+            return; // the socket is closed
+        con->get_raw_socket() = std::move(socket);
+        con->start();
+    }
+
     void closed(link_id id, std::string const& reason)
     {
         server_side.erase(id);
@@ -84,7 +99,6 @@
     it.handlers = std::move(handlers);
     it.prepare(it.incoming, io, max_message_bytes);
     it.prepare(it.outgoing, io, max_message_bytes);
-    it.incoming.set_reuse_addr(true);
     // websocketpp copies the handlers into a connection when it creates it. The
     // validate handler is the first to receive the connection, so it sets the
     // handlers of this link.
@@ -99,19 +113,17 @@
         });
         return true;
     });
-    websocketpp::lib::error_code ec;
-    auto const ip = asio::ip::make_address(address);
-    it.incoming.listen(asio::ip::tcp::endpoint(ip, port), ec);
-    if (ec)
-        throw std::system_error(ec, "peer address " + address);
-    it.incoming.start_accept();
+    it.acceptor.emplace(
+        io, asio::ip::tcp::endpoint(asio::ip::make_address(address), port),
+        [&it](asio::ip::tcp::socket socket) {
+            it.start_link(std::move(socket));
+        });
 }
 
 peer_links::~peer_links()
 {
     impl_->stopped = true;
-    websocketpp::lib::error_code ec;
-    impl_->incoming.stop_listening(ec);
+    impl_->acceptor.reset();
 }
 
 link_id peer_links::connect(std::string const& address)
--- a/test/accept_test.cpp
+++ b/test/accept_test.cpp
@@ -284,3 +284,13 @@
     late.connect(endpoint_of(s.address), ec);
     CHECK(ec == asio::error::connection_refused);
 }
+
+TEST_CASE("connections to the peer port beside used up descriptors do not "
+          "use a core")
+{
+    limited_platform p;
+    asio::io_context io;
+    auto const callers = connect_many(io, p.node.front, 300);
+    auto const peers = connect_many(io, p.peer_address, 40);
+    CHECK(p.processor_share(2s) < max_processor_share);
+}
