Descriptors are divided: callers, endpoints, peers, probes and the store

What was seen: max_connections is 4,096 for each listener whatever limits.max_fds says (80 in the trial, 4,100 on a platform, 200 of them for files), so callers could take the descriptors of readiness, metrics, peers, the store and of the calls to endpoints; with 80 descriptors and 300 callers, readiness did not answer until they left. A call without a descriptor failed at "connect", which paused the endpoint, though nothing was wrong with it.

Change: limits_of() divides limits.max_fds (or the RLIMIT_NOFILE at the start): at most 200 and a quarter for files; of the rest a third and at most 600 for peers, probes and the store; of what remains 40 in 100 for calls to endpoints, the others for callers. Beyond its part, a call first takes the place of an idle connection, else fails at once at "send", not run; the core refuses the request with 503 and does not blame the endpoint. The peer port takes only its part, and a dial that websocketpp refuses at once is reported as closed, so that it is tried again. Metrics papayahook_open_connections and papayahook_connection_limit by kind.

--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -169,6 +169,16 @@
     auto& e = s.endpoints[endpoint];
     emit_log_event(out, events::call_failed, r.request.id, endpoint,
                    std::string(to_string(where)) + ": " + detail);
+    // This node could not send it, which says nothing about the endpoint, and
+    // would happen again at another.
+    if (where == step::send && !may_have_run) {
+        close_call(s, r);
+        refuse_request(s, r,
+                       {503, outcome::not_run, where, "", std::move(detail),
+                        s.settings.endpoint_pause},
+                       out);
+        return;
+    }
     if (++e.failures >= failures_before_pause || where == step::connect)
         pause_endpoint(s, endpoint, s.settings.endpoint_pause, detail, out);
     r.may_have_run = r.may_have_run || may_have_run;
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -192,6 +192,7 @@
             : r.request.body;
     call.connect_timeout = n.options.connect_timeout;
     call.fresh_connection = it.fresh_connection;
+    call.limited = true;
     // No limit: the body is forwarded as it arrives, at the caller's pace.
     call.max_body_bytes = std::numeric_limits<std::size_t>::max();
     auto const id = it.call;
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -18,7 +18,7 @@
 void gateway::open(node& n, address const& front, address const& readiness,
                    address const& metrics)
 {
-    auto options = listener_options(n.options);
+    auto options = listener_options(n);
     options.unwritten = n.unwritten;
     auto const listen = [&](address const& at, auto handler) {
         options.address = at.ip;
@@ -30,6 +30,7 @@
     metrics_ = listen(metrics, [&n](auto const& in, auto out) {
         on_admin_request(n, in, out);
     });
+    options = caller_listener_options(n);
     options.on_close = [this, &n](auto id) {
         asio::post(n.io, [this, &n, id] { on_caller_closed(n, id); });
     };
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -85,6 +85,7 @@
     call.echoed_header = {codec_.request_id, c.request_id};
     call.connect_timeout = n.options.connect_timeout;
     call.fresh_connection = it.fresh_connection;
+    call.limited = true;
     // A stream may have any length; on_call_data() limits what is buffered.
     call.max_body_bytes = std::numeric_limits<std::size_t>::max();
     auto const id = it.call;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -46,6 +46,7 @@
     wrong_echo,
     bad_url,
     too_long,
+    no_connection_left,
 };
 
 class fault_category_type final : public std::error_category
@@ -69,6 +70,8 @@
             return "http://ip:port/path is expected";
         case fault::too_long:
             return "the answer is longer than any that is expected";
+        case fault::no_connection_left:
+            return "this node has no connection left";
         }
         return "unknown";
     }
@@ -155,9 +158,11 @@
 
 struct http_client::impl : std::enable_shared_from_this<impl>
 {
-    explicit impl(asio::io_context& it) : io(it) {}
+    impl(asio::io_context& it, std::size_t max) : io(it), max_limited(max) {}
 
     asio::io_context& io;
+    std::size_t max_limited;
+    std::size_t limited = 0; // connections of limited calls, also idle ones
     std::map<std::uint64_t, connection_ptr> open;          // by transfer id
     std::map<std::string, std::list<connection_ptr>> idle; // newest first
     std::uint64_t next_id = 1;
@@ -171,15 +176,17 @@
 // so that its end or unsolicited bytes are noticed before the next use.
 struct connection : std::enable_shared_from_this<connection>
 {
-    connection(client_ptr it, std::string k)
-        : client(std::move(it)), key(std::move(k)), socket(client->io),
-          timer(client->io)
+    connection(client_ptr it, std::string k, bool is_limited)
+        : client(std::move(it)), key(std::move(k)), limited(is_limited),
+          socket(client->io), timer(client->io)
     {
         parser.data = this;
+        client->limited += limited ? 1 : 0;
     }
 
     client_ptr client; // reset when closed
     std::string key;
+    bool limited;
     tcp::socket socket;
     asio::steady_timer timer;
     http_parser parser{};
@@ -211,6 +218,7 @@
         return;
     auto const client = std::move(c.client);
     c.client.reset();
+    client->limited -= c.limited ? 1 : 0;
     if (c.call)
         client->open.erase(c.call->id);
     auto const it = client->idle.find(c.key);
@@ -574,10 +582,26 @@
     return out;
 }
 
+// Returns false if all limited connections are in use.
+bool make_room(http_client::impl& client)
+{
+    if (client.limited < client.max_limited)
+        return true;
+    connection_ptr oldest;
+    for (auto const& [key, list] : client.idle)
+        for (auto const& c : list)
+            if (c->limited &&
+                (!oldest || c->usable_until < oldest->usable_until))
+                oldest = c;
+    if (oldest)
+        close(*oldest);
+    return oldest != nullptr;
+}
+
 } // namespace
 
-http_client::http_client(asio::io_context& io)
-    : impl_(std::make_shared<impl>(io))
+http_client::http_client(asio::io_context& io, std::size_t max_limited)
+    : impl_(std::make_shared<impl>(io, max_limited))
 {
 }
 
@@ -619,7 +643,14 @@
         send(c);
         return id;
     }
-    c = std::make_shared<connection>(impl_, key);
+    if (t->call.limited && !make_room(*impl_)) {
+        asio::post(impl_->io, [done = std::move(t->call.on_done)] {
+            if (done)
+                done({make_error(fault::no_connection_left), "send", 0, false});
+        });
+        return id;
+    }
+    c = std::make_shared<connection>(impl_, key, t->call.limited);
     c->call = std::move(t);
     impl_->open[id] = c;
     start_timeout(c, c->call->call.connect_timeout, "connect");
@@ -627,6 +658,11 @@
     return id;
 }
 
+std::size_t http_client::limited_connections() const
+{
+    return impl_->limited;
+}
+
 void http_client::cancel(std::uint64_t id)
 {
     auto const it = impl_->open.find(id);
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include "runtime/http_server.hpp"
 
+#include <limits>
 #include <optional>
 
 namespace papayahook::runtime {
@@ -12,8 +13,10 @@
 // have left this process on an established connection.
 struct http_result
 {
-    std::error_code error;         // set when the exchange did not complete
-    std::string step;              // "connect", "send", "receive", "timeout"
+    std::error_code error; // set when the exchange did not complete
+    // "connect", "send" (there was no connection left for it), "receive" or
+    // "timeout"
+    std::string step;
     int status = 0;                // 0 when no head was received
     bool may_have_run = false;     // a byte may have reached the server
     bool closed_by_server = false; // it ended or reset the connection
@@ -35,6 +38,7 @@
     std::chrono::milliseconds connect_timeout{1'000};
     std::chrono::milliseconds total_timeout{0}; // zero: no limit
     bool fresh_connection = false; // true: no idle connection is reused
+    bool limited = false;          // its connection counts towards max_limited
     // Limit of the answer's body. The parser limits the head.
     std::size_t max_body_bytes = 16UL * 1024 * 1024;
     std::function<void(int status, header_list const&)> on_head;
@@ -45,13 +49,18 @@
 class http_client
 {
 public:
-    explicit http_client(asio::io_context& io);
+    // Calls that are `limited` fail if they need one more open connection than
+    // `max_limited`, idle ones apart.
+    explicit http_client(
+        asio::io_context& io,
+        std::size_t max_limited = std::numeric_limits<std::size_t>::max());
     ~http_client();
 
     std::uint64_t start(http_call call);
     void cancel(std::uint64_t id); // on_done will not be called
     void pause(std::uint64_t id);  // stops reading, for back-pressure
     void resume(std::uint64_t id);
+    std::size_t limited_connections() const;
 
     struct impl;
 
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -30,16 +30,16 @@
 struct state_listener
 {
     std::function<void(std::uint64_t)> on_close;
-    std::size_t open = 0;
+    std::shared_ptr<std::size_t> open;
 
     void state_changed(restinio::connection_state::notice_t const& n)
     {
         using namespace restinio::connection_state;
         if (std::holds_alternative<accepted_t>(n.cause()))
-            open++;
+            ++*open;
         if (!std::holds_alternative<closed_t>(n.cause()))
             return;
-        open--;
+        --*open;
         if (on_close)
             on_close(n.connection_id());
     }
@@ -241,8 +241,8 @@
 // answer on its way, so a refused caller gets this time to read it and to
 // close.
 constexpr auto refusal_time = 1'000ms;
-// More refused callers at once are closed without waiting for the first ones.
-constexpr std::size_t max_refusals = 16;
+// Beyond this share of the connections, the oldest refused caller is closed.
+constexpr std::size_t connections_per_refusal = 8;
 constexpr std::string_view refusal =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
     "Connection: close\r\nContent-Type: text/plain\r\n"
@@ -314,7 +314,7 @@
     auto const caller = socket.remote_endpoint(ec);
     if (ec)
         return; // reset meanwhile
-    if (listener->open >= max_connections) {
+    if (*listener->open >= max_connections) {
         refuse_caller(std::move(socket));
         return;
     }
@@ -326,7 +326,7 @@
 void http_server::impl::refuse_caller(tcp::socket socket)
 {
     std::erase_if(refused, [](auto const& it) { return it.expired(); });
-    if (refused.size() >= max_refusals) {
+    if (refused.size() > max_connections / connections_per_refusal) {
         if (auto const oldest = refused.front().lock())
             close(*oldest);
         refused.pop_front();
@@ -342,6 +342,9 @@
 {
     impl_->max_connections = options.max_connections;
     impl_->listener->on_close = options.on_close;
+    impl_->listener->open = options.open_connections
+                                ? options.open_connections
+                                : std::make_shared<std::size_t>(0);
     auto limits = restinio::incoming_http_msg_limits_t{}
                       .max_url_size(options.max_header_bytes)
                       .max_field_name_size(options.max_header_bytes)
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -80,6 +80,9 @@
     // May be empty. Counts the bytes of answers that are not yet written;
     // several servers may share it.
     std::shared_ptr<std::size_t> unwritten;
+    // May be empty. Counts the open connections; several servers that share it
+    // share max_connections.
+    std::shared_ptr<std::size_t> open_connections;
 };
 
 class http_server
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -64,9 +64,17 @@
 
 } // namespace
 
-std::string metrics_text(core::node_state const& s, link_bytes links)
+std::string metrics_text(core::node_state const& s, link_bytes links,
+                         std::vector<connection_use> const& connections)
 {
     prometheus::Registry r;
+    for (auto const& it : connections) {
+        gauge(r, "papayahook_open_connections", "Open connections by kind",
+              static_cast<double>(it.open), {{"kind", it.kind}});
+        gauge(r, "papayahook_connection_limit",
+              "Connections of a kind that the descriptors allow",
+              static_cast<double>(it.limit), {{"kind", it.kind}});
+    }
     auto const& n = s.counts;
     counter(r, "papayahook_requests_total", "Requests received", n.requests);
     counter(r, "papayahook_answers_total", "Whole answers", n.answered);
--- a/src/runtime/metrics.hpp
+++ b/src/runtime/metrics.hpp
@@ -11,6 +11,14 @@
     std::uint64_t received = 0;
 };
 
-std::string metrics_text(core::node_state const& s, link_bytes links);
+struct connection_use
+{
+    char const* kind = "";
+    std::size_t open = 0;
+    std::size_t limit = 0;
+};
+
+std::string metrics_text(core::node_state const& s, link_bytes links,
+                         std::vector<connection_use> const& connections);
 
 } // namespace papayahook::runtime
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -219,8 +219,7 @@
 
 void open_builtin_interfaces(node& n)
 {
-    auto options = listener_options(n.options);
-    options.unwritten = n.unwritten;
+    auto options = caller_listener_options(n);
     options.address = n.options.caller.ip;
     options.port = n.options.caller.port;
     options.on_close = [&n](auto id) {
@@ -230,9 +229,10 @@
         n.io, options, [&n](http_request in, responder_ptr out) {
             on_caller_request(n, std::move(in), std::move(out));
         });
+    options = listener_options(n);
+    options.unwritten = n.unwritten;
     options.address = n.options.admin.ip;
     options.port = n.options.admin.port;
-    options.on_close = nullptr;
     n.admin = std::make_unique<http_server>(
         n.io, options, [&n](http_request const& in, responder_ptr const& out) {
             on_admin_request(n, in, out);
@@ -254,14 +254,15 @@
     };
     n.links = std::make_unique<peer_links>(
         n.io, n.options.peer.ip, n.options.peer.port,
-        n.options.max_peer_message_bytes, std::move(handlers));
+        n.options.max_peer_message_bytes, n.limits.peers, std::move(handlers));
 }
 
 } // namespace
 
 node::node(settings it, std::unique_ptr<runtime::adapter> adapter)
-    : options(std::move(it)), wall_at_start(std::chrono::system_clock::now()),
-      boot_at_start(time_since_boot()), client(io),
+    : options(std::move(it)), limits(limits_of(options)),
+      wall_at_start(std::chrono::system_clock::now()),
+      boot_at_start(time_since_boot()), client(io, limits.endpoints),
       platform_adapter(std::move(adapter)), signals(io), tick_timer(io)
 {
     for (int const it : handled_signals)
@@ -294,18 +295,28 @@
             elapsed));
 }
 
-http_server_options listener_options(settings const& it)
+http_server_options listener_options(node const& n)
 {
+    auto const& it = n.options;
     http_server_options out;
     out.max_body_bytes = it.max_body_bytes;
     out.max_header_bytes = it.max_header_bytes;
     out.max_header_count = it.max_header_count;
-    out.max_connections = it.max_connections;
+    out.max_connections = n.limits.probes;
     out.idle_timeout = it.idle_timeout;
     out.write_timeout = it.write_timeout;
     return out;
 }
 
+http_server_options caller_listener_options(node const& n)
+{
+    auto out = listener_options(n);
+    out.max_connections = n.limits.callers;
+    out.open_connections = n.open_callers;
+    out.unwritten = n.unwritten;
+    return out;
+}
+
 void run_after(node& n, std::chrono::milliseconds delay,
                std::function<void()> act)
 {
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -65,6 +65,7 @@
     node(settings it, std::unique_ptr<runtime::adapter> adapter);
 
     settings options;
+    connection_limits limits;
     asio::io_context io; // declared before its users, to outlive them
     core::node_state state;
     std::chrono::system_clock::time_point wall_at_start;
@@ -74,6 +75,8 @@
     std::unique_ptr<runtime::adapter> platform_adapter;
     // See http_server_options::unwritten; of all servers for callers.
     std::shared_ptr<std::size_t> unwritten = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::size_t> open_callers =
+        std::make_shared<std::size_t>(0); // connections
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> admin;
     std::unique_ptr<peer_links> links;
@@ -83,7 +86,7 @@
     bool handling = false;
     bool has_started = false; // its listeners are open
     std::optional<core::time_point> wake_at; // time of the pending extra tick
-    std::map<int, int> signals_seen; // by signal number
+    std::map<int, int> signals_seen;         // by signal number
     std::uint64_t next_request = 1;
     std::map<core::request_id, open_request> requests;
     std::map<core::call_id, open_call> calls;
@@ -112,7 +115,9 @@
                std::function<void()> act);
 
 // Listener limits from the settings; address and handlers are left unset.
-http_server_options listener_options(settings const& it);
+http_server_options listener_options(node const& n);
+// The same for the listeners of callers, which share their connections.
+http_server_options caller_listener_options(node const& n);
 
 // Calls `act` with the effect if it accepts the type; else returns false.
 template <class F>
--- a/src/runtime/peer_links.cpp
+++ b/src/runtime/peer_links.cpp
@@ -2,10 +2,12 @@
 
 #include "runtime/accept_loop.hpp"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <map>
 #include <optional>
 #include <system_error>
+#include <vector>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
@@ -32,6 +34,8 @@
     link_id next_id = 1;
     std::map<link_id, connection_hdl> server_side;
     std::map<link_id, connection_hdl> client_side;
+    std::size_t max_incoming = 0;
+    std::vector<connection_hdl> accepted; // also before they are links
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     bool stopped = false;
@@ -74,9 +78,16 @@
 
     void start_link(asio::ip::tcp::socket socket)
     {
+        accepted.erase(
+            std::remove_if(accepted.begin(), accepted.end(),
+                           [](auto const& it) { return it.expired(); }),
+            accepted.end());
+        if (accepted.size() >= max_incoming)
+            return; // the socket is closed
         auto const con = incoming.get_connection();
         if (!con)
-            return; // the socket is closed
+            return;
+        accepted.push_back(con->get_handle());
         con->get_raw_socket() = std::move(socket);
         con->start();
     }
@@ -92,11 +103,12 @@
 
 peer_links::peer_links(asio::io_context& io, std::string const& address,
                        std::uint16_t port, std::size_t max_message_bytes,
-                       link_handlers handlers)
+                       std::size_t max_incoming, link_handlers handlers)
     : impl_(std::make_shared<impl>())
 {
     auto& it = *impl_;
     it.handlers = std::move(handlers);
+    it.max_incoming = max_incoming;
     it.prepare(it.incoming, io, max_message_bytes);
     it.prepare(it.outgoing, io, max_message_bytes);
     // websocketpp copies the handlers into a connection when it creates it. The
@@ -132,8 +144,12 @@
     websocketpp::lib::error_code ec;
     auto const con = it.outgoing.get_connection("ws://" + address + "/", ec);
     auto const id = it.next_id++;
-    if (ec)
+    if (ec) {
+        asio::post(
+            it.outgoing.get_io_service(),
+            [self = impl_, id, why = ec.message()] { self->closed(id, why); });
         return id;
+    }
     it.attach(con, id);
     con->set_open_handler([&it, id](connection_hdl const& open) {
         it.client_side[id] = open;
@@ -169,6 +185,11 @@
         it.outgoing.close(m->second, going_away, "", ec);
 }
 
+std::size_t peer_links::open_connections() const
+{
+    return impl_->server_side.size() + impl_->client_side.size();
+}
+
 std::uint64_t peer_links::bytes_sent() const
 {
     return impl_->sent;
--- a/src/runtime/peer_links.hpp
+++ b/src/runtime/peer_links.hpp
@@ -25,12 +25,13 @@
     // Throws std::system_error when the address cannot be bound.
     peer_links(asio::io_context& io, std::string const& address,
                std::uint16_t port, std::size_t max_message_bytes,
-               link_handlers handlers);
+               std::size_t max_incoming, link_handlers handlers);
     ~peer_links();
 
     link_id connect(std::string const& address); // "ip:port"
     void send(link_id link, std::string const& message);
     void close(link_id link);
+    std::size_t open_connections() const;
     std::uint64_t bytes_sent() const;
     std::uint64_t bytes_received() const;
 
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 
 namespace papayahook::runtime {
 
@@ -179,6 +180,51 @@
 
 } // namespace
 
+namespace {
+
+// For files, timers, the event loop and the log. The platform keeps as many for
+// files.
+constexpr std::size_t max_file_descriptors = 200;
+constexpr std::size_t file_share = 4; // at most one in so many
+// For peers, probes, the store and checks of endpoints, which must work while
+// callers use all that is theirs. A hub of 300 nodes has a link to each, and
+// links that are being replaced.
+constexpr std::size_t max_reserve = 600;
+constexpr std::size_t peer_percentage = 60;  // of the reserve
+constexpr std::size_t probe_percentage = 10; // of the reserve, per listener
+constexpr std::size_t reserve_share = 3;
+constexpr std::size_t min_probes = 3; // a probe, a scrape and an operator
+// A caller keeps its connection while its request waits for an endpoint and
+// between requests, so more callers than calls are connected.
+constexpr std::size_t endpoint_percentage = 40;
+// The server adds one refused caller to so many connections.
+constexpr std::size_t callers_per_refusal = 8;
+
+std::size_t descriptors_at_start()
+{
+    rlimit it{};
+    getrlimit(RLIMIT_NOFILE, &it); // cannot fail for this resource
+    return it.rlim_cur;
+}
+
+} // namespace
+
+connection_limits limits_of(settings const& it)
+{
+    auto const all = it.max_fds != 0 ? it.max_fds : descriptors_at_start();
+    auto const files = std::min(max_file_descriptors, all / file_share);
+    auto const reserve = std::min(max_reserve, (all - files) / reserve_share);
+    auto const rest = all - files - reserve;
+    connection_limits out;
+    out.endpoints = rest * endpoint_percentage / 100;
+    out.callers = std::min(it.max_connections, (rest - out.endpoints) *
+                                                   callers_per_refusal /
+                                                   (callers_per_refusal + 1));
+    out.peers = reserve * peer_percentage / 100;
+    out.probes = std::max(min_probes, reserve * probe_percentage / 100);
+    return out;
+}
+
 settings read_settings(std::string const& file)
 {
     auto const parsed = codec::parse_toml(file);
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -38,7 +38,9 @@
     // largest answer that is still arriving is given up.
     std::size_t max_answer_bytes = 64UL * 1024 * 1024;
     std::size_t max_header_count = 64;
-    std::size_t max_connections = 4096;
+    std::size_t max_connections = 4096; // of callers; see max_fds, too
+    // Descriptors that the process may open; 0: its limit at the start.
+    std::size_t max_fds = 0;
     std::size_t max_peer_message_bytes = 16 * 1024 * 1024;
     std::chrono::milliseconds idle_timeout{60'000};
     std::chrono::milliseconds write_timeout{30'000};
@@ -52,6 +54,17 @@
     std::string record_file; // events as JSON lines; empty: none
 };
 
+// Connections of each kind that the descriptors of a process are divided into.
+struct connection_limits
+{
+    std::size_t callers = 0;
+    std::size_t endpoints = 0;
+    std::size_t peers = 0;  // that dial this node
+    std::size_t probes = 0; // of the readiness port, and of the admin port
+};
+
+connection_limits limits_of(settings const& it);
+
 // Reads the settings. Throws codec::config_error with file, line and key.
 settings read_settings(std::string const& file);
 
--- a/test/accept_test.cpp
+++ b/test/accept_test.cpp
@@ -7,6 +7,7 @@
 #include "support/fleet.hpp"
 #include "support/platform_nodes.hpp"
 
+#include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
@@ -172,6 +173,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work{
         io.get_executor()};
     std::string address;
+    std::vector<runtime::responder_ptr> held;
     std::unique_ptr<runtime::http_server> server;
     std::thread thread;
 };
@@ -193,6 +195,37 @@
     return gets_bytes(caller);
 }
 
+// Results of limited calls, in the order in which they end.
+struct limited_calls
+{
+    explicit limited_calls(std::size_t max) : client(io, max) {}
+
+    void start(std::string const& address, std::string const& path)
+    {
+        runtime::http_call call;
+        call.url = "http://" + address + path;
+        call.connection_group = path;
+        call.limited = true;
+        call.on_done = [this](auto const& it) {
+            ended.push_back(it);
+        };
+        client.start(std::move(call));
+    }
+
+    bool ends(std::size_t n)
+    {
+        return eventually(5s, [&] {
+            io.restart();
+            io.run_for(10ms);
+            return ended.size() >= n;
+        });
+    }
+
+    asio::io_context io;
+    std::vector<runtime::http_result> ended;
+    runtime::http_client client;
+};
+
 } // namespace
 
 TEST_CASE("callers that reset their connection before it is accepted do not "
@@ -294,3 +327,77 @@
     auto const peers = connect_many(io, p.peer_address, 40);
     CHECK(p.processor_share(2s) < max_processor_share);
 }
+
+TEST_CASE("readiness, metrics and the store are reached while callers use up "
+          "their descriptors")
+{
+    limited_platform p;
+    asio::io_context io;
+    auto callers = connect_many(io, p.node.front, 300);
+    int failed = 0;
+    for (int i = 0; i < 20; ++i) {
+        failed += is_ready(p.node) ? 0 : 1;
+        failed += gauge_of(p.node, "papayahook_store_age_seconds") < 5 ? 0 : 1;
+        std::this_thread::sleep_for(200ms);
+    }
+    CHECK(failed == 0);
+    callers.clear();
+    CHECK(eventually(10s, [&] { return p.answered("after") == 10; }));
+}
+
+TEST_CASE("a call for which no connection is left fails at once as not sent")
+{
+    small_server s(8);
+    s.run();
+    limited_calls c(2);
+    for (int i = 0; i < 3; ++i)
+        c.start(s.address, "/hold");
+    REQUIRE(c.ends(1));
+    CHECK(c.ended[0].error);
+    CHECK(c.ended[0].step == "send");
+    CHECK(!c.ended[0].may_have_run);
+    CHECK(c.client.limited_connections() == 2);
+}
+
+TEST_CASE("an idle connection is closed when another call needs its place")
+{
+    small_server s(8);
+    s.run();
+    limited_calls c(1);
+    c.start(s.address, "/a");
+    REQUIRE(c.ends(1));
+    c.start(s.address, "/b");
+    REQUIRE(c.ends(2));
+    CHECK(c.ended[1].status == 200);
+    CHECK(c.client.limited_connections() == 1);
+}
+
+TEST_CASE("requests beyond the connections to endpoints are refused, and the "
+          "endpoint is not blamed")
+{
+    limited_platform p;
+    for (int i = 2; i < 10; ++i)
+        p.fake.add_runner({"i-" + std::to_string(i), "raw", "v1", false, 1s});
+    REQUIRE(eventually(10s, [&] {
+        return run_call(request(p.node, "/raw/x", "first")).status == 200;
+    }));
+    auto const limit = [&](char const* kind) {
+        return gauge_of(p.node, "papayahook_connection_limit{kind=\"" +
+                                    std::string(kind) + "\"}");
+    };
+    CHECK(limit("endpoints") >= 8);
+    CHECK(limit("callers") > limit("endpoints"));
+    CHECK(limit("callers") + limit("endpoints") + limit("peers") <
+          few_descriptors);
+    std::vector<call_plan> plans;
+    for (int i = 0; i < static_cast<int>(limit("callers")); ++i)
+        plans.push_back(request(p.node, "/raw/x", "id-" + std::to_string(i)));
+    auto const outcomes = run_calls(plans);
+    auto const count = [&](int status) {
+        return std::ranges::count(outcomes, status, &call_outcome::status);
+    };
+    CHECK(count(200) >= static_cast<long>(limit("endpoints")));
+    CHECK(count(503) > 0);
+    CHECK(count(200) + count(503) == std::ssize(outcomes));
+    CHECK(run_call(request(p.node, "/raw/x", "last")).status == 200);
+}
