Exceptions of handlers become event 109 and leave the node able to serve

One below RESTinio, which catches it, left node::handling set: the process lived on and handled no event, so no accepted request ended. Cause: no place where an exception becomes a logged event; handle() was not exception safe; effects after the one that threw were lost; a reload that threw left no handler of signals behind; callbacks threw through the C parser. Change: run_guarded() and run_loop() (src/runtime/guard.hpp); each effect is carried out on its own, and the core learns of one that failed (failed_effects.cpp; list in docs/design/exceptions.md). A failure of core::reduce may leave the state half changed: the node drains as after SIGTERM and exits with 3. An answer that cannot be sent closes its connection; a timer that repeats itself is set before its work. Ruled out: reduce on a copy of the state, which costs a copy for each event.

--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -208,8 +208,15 @@
     open_call c;
     c.model = model;
     c.next_index = it.resume_chunks.size();
-    c.transfer = n.client.start(std::move(call));
-    n.calls.emplace(id, std::move(c));
+    // Registered first: once it is started, it may have run.
+    auto const added = n.calls.emplace(id, std::move(c)).first;
+    try {
+        added->second.transfer = n.client.start(std::move(call));
+    }
+    catch (...) {
+        n.calls.erase(added);
+        throw;
+    }
 }
 
 void perform(node& n, core::cancel_call const& it)
@@ -320,15 +327,15 @@
 // at any fleet size.
 void poll_endpoints(node& n)
 {
+    auto const period = std::chrono::milliseconds(
+        static_cast<int>(1000 / n.options.polls_per_second));
+    run_after(n, period, [&n] { poll_endpoints(n); });
     auto const& all = n.state.config.endpoints;
     if (!all.empty()) {
         auto const start = core::hash_of(n.options.core.name);
         auto const at = (start + n.next_poll++) % all.size();
         poll(n, std::next(all.begin(), static_cast<long>(at))->second.value);
     }
-    auto const period = std::chrono::milliseconds(
-        static_cast<int>(1000 / n.options.polls_per_second));
-    run_after(n, period, [&n] { poll_endpoints(n); });
 }
 
 } // namespace papayahook::runtime
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -3,6 +3,8 @@
 // that arrived before a request was sent from the answer to it.
 #include "runtime/http_client.hpp"
 
+#include "runtime/guard.hpp"
+
 #include <algorithm>
 #include <array>
 #include <asio/connect.hpp>
@@ -362,8 +364,10 @@
     c.head_seen = true;
     c.call->status = status;
     bool const no_body = call.method == "HEAD";
-    if (call.on_head)
-        call.on_head(status, c.headers);
+    // No exception may pass through the parser, which is written in C.
+    if (call.on_head && !run_guarded("head of an answer",
+                                     [&] { call.on_head(status, c.headers); }))
+        return -1;
     return no_body ? 1 : 0;
 }
 
@@ -375,8 +379,9 @@
     c.body_bytes += n;
     if (c.body_bytes > c.call->call.max_body_bytes)
         return -1;
-    if (c.call->call.on_data)
-        c.call->call.on_data({at, n});
+    auto const& on_data = c.call->call.on_data;
+    if (on_data && !run_guarded("data of an answer", [&] { on_data({at, n}); }))
+        return -1;
     return c.call ? 0 : -1;
 }
 
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/text.hpp"
 #include "runtime/accept_loop.hpp"
+#include "runtime/guard.hpp"
 
 #include <algorithm>
 #include <asio/steady_timer.hpp>
@@ -80,27 +81,32 @@
     {
     }
 
+    // An answer that cannot be sent closes its connection: its caller must not
+    // wait.
     void send(int status, header_list const& headers, std::string body) override
     {
-        auto response = request_->create_response(status_line(status));
-        for (auto const& [name, value] : headers)
-            response.append_header(name, value);
-        if (closes_)
-            response.connection_close();
-        auto counted = count_write(unwritten_, body.size());
-        response.set_body(std::move(body));
-        response.done([counted = std::move(counted)](auto const&) {});
+        keep_connection();
+        try {
+            send_whole(status, headers, std::move(body));
+            connection_.reset();
+        }
+        catch (...) {
+            close();
+            throw;
+        }
     }
 
     void start(int status, header_list const& headers) override
     {
-        connection_ = restinio::impl::access_req_connection(*request_);
-        stream_.emplace(request_->create_response<restinio::chunked_output_t>(
-            status_line(status)));
-        for (auto const& [name, value] : headers)
-            stream_->append_header(name, value);
-        if (closes_)
-            stream_->connection_close();
+        keep_connection();
+        try {
+            send_head(status, headers);
+        }
+        catch (...) {
+            stream_.reset();
+            close();
+            throw;
+        }
     }
 
     void close_after_answer() override { closes_ = true; }
@@ -132,6 +138,45 @@
     {
         if (!stream_)
             return;
+        close();
+        stream_.reset();
+    }
+
+private:
+    void send_whole(int status, header_list const& headers, std::string body)
+    {
+        auto response = request_->create_response(status_line(status));
+        for (auto const& [name, value] : headers)
+            response.append_header(name, value);
+        if (closes_)
+            response.connection_close();
+        auto counted = count_write(unwritten_, body.size());
+        response.set_body(std::move(body));
+        response.done([counted = std::move(counted)](auto const&) {});
+    }
+
+    void send_head(int status, header_list const& headers)
+    {
+        stream_.emplace(request_->create_response<restinio::chunked_output_t>(
+            status_line(status)));
+        for (auto const& [name, value] : headers)
+            stream_->append_header(name, value);
+        if (closes_)
+            stream_->connection_close();
+    }
+
+    // The first answer takes the connection out of the request.
+    void keep_connection()
+    {
+        auto const& it = restinio::impl::access_req_connection(*request_);
+        if (it)
+            connection_ = it;
+    }
+
+    void close()
+    {
+        if (!connection_)
+            return;
         restinio::response_output_flags_t const flags{
             restinio::response_parts_attr_t::final_parts,
             restinio::response_connection_attr_t::connection_close};
@@ -139,10 +184,8 @@
         connection_->write_response_parts(
             request_->request_id(), flags,
             restinio::write_group_t{std::move(no_items)});
-        stream_.reset();
     }
 
-private:
     using stream = restinio::response_builder_t<restinio::chunked_output_t>;
 
     static restinio::http_status_line_t status_line(int status)
@@ -364,7 +407,13 @@
             auto in = convert(request);
             auto out =
                 std::make_shared<responder>(std::move(request), unwritten);
-            on_request(std::move(in), std::move(out));
+            // RESTinio would close the connection without a word.
+            if (!run_guarded("request",
+                             [&] { on_request(std::move(in), out); }))
+                run_guarded("answer to a failed request", [&] {
+                    out->close_after_answer();
+                    out->send(500, {}, "the request could not be read\n");
+                });
             return restinio::request_accepted();
         });
     auto const timers = set.timer_factory()->create(io);
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -2,10 +2,12 @@
 #include "runtime/node.hpp"
 
 #include "codec/json.hpp"
+#include "runtime/guard.hpp"
 #include "runtime/logging.hpp"
 #include "runtime/signals.hpp"
 
 #include <algorithm>
+#include <array>
 #include <asio/post.hpp>
 #include <iostream>
 
@@ -130,9 +132,13 @@
         n.links->close(link);
         return;
     }
-    if (auto const* const offer = std::get_if<core::hand_over>(&message))
-        add_handed_over_request(n, *offer);
-    handle(n, core::peer_received{link, std::move(message)});
+    auto const accept = [&] {
+        if (auto const* const offer = std::get_if<core::hand_over>(&message))
+            add_handed_over_request(n, *offer);
+        handle(n, core::peer_received{link, std::move(message)});
+    };
+    if (!run_guarded("peer message", accept))
+        n.links->close(link);
 }
 
 void perform(node& n, core::dial_peer const& it)
@@ -167,9 +173,11 @@
 
 void tick(node& n)
 {
-    handle(n, core::tick{});
-    erase_ended_requests(n);
-    flush_log();
+    run_guarded("tick", [&n] {
+        handle(n, core::tick{});
+        erase_ended_requests(n);
+        flush_log();
+    });
     n.tick_timer.expires_after(tick_period);
     n.tick_timer.async_wait([&n](auto ec) {
         if (!ec)
@@ -199,7 +207,7 @@
                    "SIG" + std::string(sigabbrev_np(number)) + ", number " +
                        std::to_string(seen) + "; " + describe_open(n)});
         if (number == SIGHUP && n.platform_adapter && n.has_started)
-            n.platform_adapter->reload(n);
+            run_guarded("reload", [&n] { n.platform_adapter->reload(n); });
         if (number == SIGTERM || number == SIGINT) {
             handle(n, core::shutdown_requested{});
             if (!n.has_started)
@@ -327,6 +335,87 @@
     });
 }
 
+void perform_effect(node& n, core::effect const& effect)
+{
+    if (n.platform_adapter == nullptr ||
+        !n.platform_adapter->perform(n, effect))
+        std::visit([&n](auto const& e) { perform(n, e); }, effect);
+}
+
+namespace {
+
+constexpr int core_failed_status = 3;
+
+std::string effect_name(core::effect const& it)
+{
+    constexpr std::array names{"refuse",           "dispatch",
+                               "cancel_call",      "pause_call",
+                               "resume_call",      "send_head",
+                               "send_chunk",       "finish_answer",
+                               "fail_answer",      "relay",
+                               "append",           "send_peer",
+                               "close_peer",       "dial_peer",
+                               "follow_store",     "append_duty",
+                               "report_usage",     "order_endpoints",
+                               "report_pool_move", "check_endpoint",
+                               "log_event",        "wake",
+                               "exit_process"};
+    static_assert(names.size() == std::variant_size_v<core::effect>);
+    return names.at(it.index());
+}
+
+// An effect that throws must not take the other effects of its event with it.
+void carry_out(node& n, core::effect const& effect)
+{
+    std::string why;
+    try {
+        perform_effect(n, effect);
+        return;
+    }
+    catch (...) {
+        why = describe_exception();
+        log_exception(effect_name(effect));
+    }
+    run_guarded("failed effect", [&] { report_failed_effect(n, effect, why); });
+}
+
+// The state may be half changed, so the node ends as after SIGTERM, to be
+// started anew. If even that does not end it, the loop is stopped.
+void leave_after_failure(node& n)
+{
+    if (std::exchange(n.core_failed, true))
+        return;
+    n.events.push_back({now(n), core::shutdown_requested{}});
+    run_after(n, n.state.settings.drain_timeout, [&n] { n.io.stop(); });
+}
+
+// What the core has decided before it threw is carried out: the state says that
+// it was.
+core::effects reduce_guarded(node& n, core::event const& it)
+{
+    core::effects out;
+    auto const reduce = [&] {
+        if (n.recording.is_open())
+            n.recording << codec::event_to_line(it) << '\n';
+        core::reduce(n.state, it, out);
+    };
+    if (!run_guarded("core", reduce))
+        leave_after_failure(n);
+    return out;
+}
+
+struct handling_scope
+{
+    explicit handling_scope(bool& it) : flag(it) { flag = true; }
+    ~handling_scope() { flag = false; }
+    handling_scope(handling_scope const&) = delete;
+    handling_scope& operator=(handling_scope const&) = delete;
+
+    bool& flag;
+};
+
+} // namespace
+
 // An effect may cause the next event while it is carried out; that event is
 // queued until the current one is done.
 void handle(node& n, event_body what)
@@ -334,20 +423,13 @@
     n.events.push_back({now(n), std::move(what)});
     if (n.handling)
         return;
-    n.handling = true;
+    handling_scope const scope(n.handling);
     while (!n.events.empty()) {
         auto const it = std::move(n.events.front());
         n.events.pop_front();
-        if (n.recording.is_open())
-            n.recording << codec::event_to_line(it) << '\n';
-        core::effects out;
-        core::reduce(n.state, it, out);
-        for (auto const& effect : out)
-            if (n.platform_adapter == nullptr ||
-                !n.platform_adapter->perform(n, effect))
-                std::visit([&n](auto const& e) { perform(n, e); }, effect);
+        for (auto const& effect : reduce_guarded(n, it))
+            carry_out(n, effect);
     }
-    n.handling = false;
 }
 
 } // namespace papayahook::runtime
@@ -409,14 +491,21 @@
         n.io.poll(); // handles the signals that came before
         if (!n.state.leaving)
             start(n);
-        n.io.run();
+        run_loop(n.io);
         write_log({events::node_stopped, n.options.core.name, "",
                    describe_open(n) + describe_signals(n)});
+        if (n.core_failed)
+            result = core_failed_status;
     }
     catch (std::system_error const& e) {
         std::cerr << "listen: " << e.what() << '\n';
         result = 2;
     }
+    catch (...) {
+        log_exception("start");
+        std::cerr << "start: " << describe_exception() << '\n';
+        result = 2;
+    }
     flush_log();
     return result;
 }
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -84,7 +84,8 @@
     asio::steady_timer tick_timer;
     std::deque<core::event> events; // queued while another one is handled
     bool handling = false;
-    bool has_started = false; // its listeners are open
+    bool has_started = false;                // its listeners are open
+    bool core_failed = false;                // the state may be half changed
     std::optional<core::time_point> wake_at; // time of the pending extra tick
     std::map<int, int> signals_seen;         // by signal number
     std::uint64_t next_request = 1;
@@ -103,14 +104,16 @@
 // node.cpp
 // Runs a node until SIGTERM or SIGINT has drained it, which takes at most
 // drain_timeout. Further signals neither hasten nor prolong that; only SIGQUIT
-// and SIGKILL end a process at once. Returns the exit code: 2 when an address
-// cannot be bound, else 0.
+// and SIGKILL end a process at once. Returns the exit code: 2 when it cannot be
+// started, 3 when the core has thrown, else 0.
 int run_node(settings it, std::unique_ptr<adapter> platform_adapter);
 // Time since boot, including time suspended.
 std::chrono::nanoseconds time_since_boot();
 core::time_point now(node const& n);
 using event_body = decltype(core::event::body);
 void handle(node& n, event_body what);
+// Carries out an effect, by the adapter or by the node itself. May throw.
+void perform_effect(node& n, core::effect const& effect);
 void run_after(node& n, std::chrono::milliseconds delay,
                std::function<void()> act);
 
@@ -133,6 +136,10 @@
         effect);
 }
 
+// failed_effects.cpp
+void report_failed_effect(node& n, core::effect const& effect,
+                          std::string const& why);
+
 // callers.cpp
 void on_caller_request(node& n, http_request in, responder_ptr out);
 void on_caller_closed(node& n, std::uint64_t connection_id);
