The bytes of request bodies that a node holds are bounded

Cause: admission counted requests, not bytes. With one copy of each body 60 orders of 4.19 MB still took 262 MB of 160.

Admission now knows the length of the body (request_arrived::body_bytes) and the sum over open requests; what does not fit into max_request_bytes is refused before anything is sent: 503 "not run" with Retry-After, or 413 if the body alone can never fit. Bodies above 128 KiB leave a quarter of the memory to shorter ones.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -547,6 +547,7 @@
     // Identities of the parts of the prompt that other requests may have as
     // well. Unlike a block, a part is the same wherever it stands.
     std::vector<std::uint64_t> shared_parts;
+    std::size_t body_bytes = 0; // that the runtime holds until the end
 };
 
 // The original HTTP request without the caller's key. The core does not read
@@ -628,6 +629,8 @@
     // Bytes of all answers that are held to be continued or sent again. Beyond
     // it the largest ones are only passed on.
     std::size_t max_held_bytes = 64UL * 1024 * 1024;
+    // Bytes of the bodies of all open requests. What does not fit is refused.
+    std::size_t max_request_bytes = 64UL * 1024 * 1024;
     int max_attempts = 4; // calls per request, if the route sets no limit
     // Plain services continue a stream after the last event that the caller
     // has, as model runners do after the last token.
@@ -1559,8 +1562,11 @@
     std::map<std::uint64_t, pending_append> appends; // by number
     std::map<std::string, member_news> members;      // by node, self included
     std::map<std::string, double> finish_tags;       // by organisation
-    double virtual_time = 0;                    // virtual time of fair queueing
-    std::map<std::string, int> in_flight;       // by organisation
+    double virtual_time = 0;              // virtual time of fair queueing
+    std::map<std::string, int> in_flight; // by organisation
+    // Bytes of the bodies of open requests: of all, and of the long ones.
+    std::size_t request_bytes = 0;
+    std::size_t long_request_bytes = 0;
     std::map<std::string, double> retry_tokens; // by pool
     std::map<std::string, quota_state> quotas;  // by organisation
     std::size_t listed_nodes = 0; // in the registry, this one included
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -384,7 +384,7 @@
                 (via_model_path, "model"), (run_without_caller, "keep"),
                 idempotency_key, body_digest, schema_version, klass, deadline,
                 prompt_tokens, (max_answer_tokens, "answer_tokens"),
-                prefix_blocks, block_tokens, shared_parts)
+                prefix_blocks, block_tokens, shared_parts, body_bytes)
 PAPAYAHOOK_JSON(caller_message, method, path, query, headers, body)
 PAPAYAHOOK_JSON(hand_over, offer, (request, "asked"), message, organisation,
                 klass, (time_left, "left"), endpoint, version, status,
@@ -423,8 +423,8 @@
 PAPAYAHOOK_JSON(pool_move_reported, (move, "what"), ok)
 PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
                 peer_address, capacity, max_queue, max_backlog,
-                max_backlog_bytes, max_held_bytes, max_attempts,
-                resumes_plain_streams, retry_budget, retry_burst,
+                max_backlog_bytes, max_held_bytes, max_request_bytes,
+                max_attempts, resumes_plain_streams, retry_budget, retry_burst,
                 (retry_burst_nodes, "retry_sharers"), claim_batch,
                 append_budget, outcome_linger, max_shared_body,
                 max_shared_bytes, first_token_target, service_wait, hop_cost,
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -16,6 +16,15 @@
 // every event.
 constexpr int queue_lookahead = 8;
 
+// Longer bodies leave a share of the memory to those up to this length.
+constexpr std::size_t max_short_body = 128UL * 1024;
+constexpr double long_body_share = 0.75;
+
+bool is_long(request_arrived const& e)
+{
+    return e.body_bytes > max_short_body;
+}
+
 void refuse_arrival(request_arrived const& e, refusal why, node_state& s,
                     effects& out)
 {
@@ -25,6 +34,35 @@
     out.push_back(refuse{e.id, std::move(why)});
 }
 
+// Returns why the body of a request cannot be held, or nullopt if it can.
+std::optional<refusal> check_memory(node_state const& s,
+                                    request_arrived const& e)
+{
+    auto const max = s.settings.max_request_bytes;
+    auto const max_long = is_long(e)
+                              ? static_cast<std::size_t>(
+                                    long_body_share * static_cast<double>(max))
+                              : max;
+    if (e.body_bytes > max_long)
+        return refusal{413,
+                       outcome::not_run,
+                       step::admit,
+                       "",
+                       "the body is longer than this node can hold",
+                       0ms};
+    bool const fits =
+        s.request_bytes + e.body_bytes <= max &&
+        (!is_long(e) || s.long_request_bytes + e.body_bytes <= max_long);
+    if (fits)
+        return std::nullopt;
+    return refusal{503,
+                   outcome::not_run,
+                   step::admit,
+                   "",
+                   "open requests take the memory that this node has for them",
+                   short_retry_after};
+}
+
 // Returns why a request is refused, or nullopt if it is admitted. An admitted
 // request is charged to the quota of its organisation.
 std::optional<refusal> check_admission(node_state& s, request_arrived const& e)
@@ -51,6 +89,8 @@
     // Before the quota: it is not charged for what gets no call.
     if (auto why = check_quarantine(s, e, false))
         return why;
+    if (auto why = check_memory(s, e))
+        return why;
     if (org == s.config.organisation_by_key.end())
         return std::nullopt;
     auto const& limits = s.config.organisations.at(org->second).value;
@@ -158,6 +198,20 @@
 
 } // namespace
 
+void count_open(node_state& s, request_state const& r)
+{
+    s.in_flight[r.organisation]++;
+    s.request_bytes += r.request.body_bytes;
+    s.long_request_bytes += is_long(r.request) ? r.request.body_bytes : 0;
+}
+
+void count_closed(node_state& s, request_state const& r)
+{
+    s.in_flight[r.organisation]--;
+    s.request_bytes -= r.request.body_bytes;
+    s.long_request_bytes -= is_long(r.request) ? r.request.body_bytes : 0;
+}
+
 std::string pool_of(node_state const& s, request_state const& r)
 {
     if (!r.pool.empty())
@@ -214,7 +268,7 @@
     r.arrived = s.now;
     r.deadline =
         s.now + std::min(e.deadline.value_or(it.deadline), it.deadline);
-    s.in_flight[r.organisation]++;
+    count_open(s, r);
     auto& stored = s.requests[e.id] = std::move(r);
     if (!stored.repeatable && !e.idempotency_key.empty())
         start_claim(s, stored, out);
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -166,7 +166,8 @@
     r.failure = e.failure;
     r.offer_number = e.offer;
     s.counts.taken_over++;
-    s.in_flight[r.organisation]++;
+    r.request.body_bytes = e.message.body.size();
+    count_open(s, r);
     auto& stored = s.requests[e.request.id] = std::move(r);
     if (e.ended) {
         end_request(s, stored);
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -20,6 +20,9 @@
 inline constexpr std::chrono::seconds short_retry_after{1};
 
 // admission.cpp: admission of requests and fair queues before the pools
+// Count what an open request takes, until it ends.
+void count_open(node_state& s, request_state const& r);
+void count_closed(node_state& s, request_state const& r);
 void on_request_arrived(node_state& s, request_arrived const& e, effects& out);
 void enqueue(node_state& s, request_state& r, effects& out);
 void drain_queues(node_state& s, effects& out);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -288,7 +288,7 @@
     r.ended_at = s.now;
     s.last_ended_at = s.now;
     r.early_chunks.clear();
-    s.in_flight[r.organisation]--;
+    count_closed(s, r);
 }
 
 namespace {
--- a/src/runtime/callers.cpp
+++ b/src/runtime/callers.cpp
@@ -250,6 +250,15 @@
     std::erase_if(n.requests, [&](auto const& it) {
         return it.second.out == nullptr && !n.state.requests.contains(it.first);
     });
+    // Nothing sends the body of an answered request again. Without its caller
+    // it may still be handed over.
+    for (auto& [id, r] : n.requests) {
+        auto const known = n.state.requests.find(id);
+        if (known != n.state.requests.end() &&
+            known->second.phase == core::request_phase::done &&
+            known->second.caller_present)
+            r.request.body = shared_text{};
+    }
 }
 
 } // namespace papayahook::runtime
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -57,7 +57,8 @@
         out->send(400, {}, "the request has no id\n");
         return;
     }
-    auto const event = codec_.decode_request(in, id, n.state.config);
+    auto event = codec_.decode_request(in, id, n.state.config);
+    event.body_bytes = in.body.size();
     open_caller c;
     c.request_id = sent_id;
     auto const route = n.state.config.routes.find(event.route);
@@ -67,7 +68,7 @@
     c.request = std::move(in);
     c.out = std::move(out);
     callers_.emplace(id, std::move(c));
-    handle(n, event);
+    handle(n, std::move(event));
 }
 
 void gateway::on_caller_closed(node& n, std::uint64_t connection)
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -121,6 +121,11 @@
           static_cast<double>(s.config.applied));
     gauge(r, "papayahook_open_calls", "Calls in flight",
           static_cast<double>(s.calls.size()));
+    gauge(r, "papayahook_request_bytes", "Bytes of the bodies of open requests",
+          static_cast<double>(s.request_bytes));
+    gauge(r, "papayahook_max_request_bytes",
+          "Bytes beyond which requests are refused",
+          static_cast<double>(s.settings.max_request_bytes));
     gauge(r, "papayahook_log_reachable", "1 when the log answers",
           s.log_reachable ? 1 : 0);
     if (s.store_as_of != core::time_point{})
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -110,6 +110,7 @@
     read_count(it, "append_budget", out.core.append_budget, 100'000);
     read_count(it, "max_shared_body", out.core.max_shared_body, gigabyte);
     read_count(it, "max_shared_bytes", out.core.max_shared_bytes, gigabyte);
+    read_count(it, "max_request_bytes", out.core.max_request_bytes, gigabyte);
     read_count(it, "max_body_bytes", out.max_body_bytes, gigabyte);
     read_count(it, "max_header_bytes", out.max_header_bytes, million);
     read_count(it, "max_header_count", out.max_header_count, 10'000);
@@ -272,6 +273,7 @@
         << "\nappend_budget = " << it.core.append_budget
         << "\nmax_shared_body = " << it.core.max_shared_body
         << "\nmax_shared_bytes = " << it.core.max_shared_bytes
+        << "\nmax_request_bytes = " << it.core.max_request_bytes
         << "\nmax_body_bytes = " << it.max_body_bytes
         << "\nmax_header_bytes = " << it.max_header_bytes
         << "\nmax_header_count = " << it.max_header_count
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/wire.hpp"
 #include "support/fleet.hpp"
 #include "support/platform_nodes.hpp"
+#include "support/world.hpp"
 
 #include <algorithm>
 #include <asio/connect.hpp>
@@ -80,8 +81,78 @@
     return out;
 }
 
+// Returns why a chat with a body of this length is refused, if it is.
+std::optional<core::refusal> ask(core::node_state& s, std::string const& id,
+                                 std::size_t bytes)
+{
+    core::request_arrived asked;
+    asked.id = id;
+    asked.key_digest = "key";
+    asked.route = "chat";
+    asked.body_bytes = bytes;
+    core::effects out;
+    core::reduce(s, {s.now, asked}, out);
+    for (auto const& it : out)
+        if (auto const* const no = std::get_if<core::refuse>(&it))
+            return no->why;
+    return std::nullopt;
+}
+
+// A node that has 1 MB for requests.
+support::world small_node()
+{
+    auto w = support::make_world(1);
+    w.nodes[0].settings.max_request_bytes = megabyte;
+    support::configure(w);
+    return w;
+}
+
 } // namespace
 
+TEST_CASE("requests that a node cannot hold are refused before they are sent")
+{
+    auto w = small_node();
+    auto& s = w.nodes[0];
+    CHECK_FALSE(ask(s, "a", 400'000));
+    auto const calls = s.calls.size();
+    auto const why = ask(s, "b", 400'000);
+    REQUIRE(why);
+    CHECK(why->status == 503);
+    CHECK(why->known_outcome == core::outcome::not_run);
+    CHECK(why->retry_after > 0ms);
+    CHECK(s.calls.size() == calls);
+    CHECK(s.request_bytes == 400'000);
+    support::give(w, 0, core::caller_gone{"a"});
+    CHECK(s.request_bytes == 0);
+    CHECK_FALSE(ask(s, "c", 400'000));
+}
+
+TEST_CASE("a request that a node can never hold is refused for good")
+{
+    auto w = small_node();
+    auto const why = ask(w.nodes[0], "a", 900'000);
+    REQUIRE(why);
+    CHECK(why->status == 413);
+    CHECK(why->known_outcome == core::outcome::not_run);
+    CHECK(why->retry_after == 0ms);
+    CHECK(w.nodes[0].request_bytes == 0);
+}
+
+TEST_CASE("short requests are served beside long ones, and are bounded too")
+{
+    auto w = small_node();
+    auto& s = w.nodes[0];
+    CHECK_FALSE(ask(s, "long 1", 400'000));
+    CHECK_FALSE(ask(s, "long 2", 300'000));
+    CHECK(ask(s, "long 3", 200'000));
+    CHECK_FALSE(ask(s, "short 1", 100'000));
+    CHECK_FALSE(ask(s, "short 2", 100'000));
+    CHECK_FALSE(ask(s, "short 3", 100'000));
+    CHECK(ask(s, "short 4", 1));
+    CHECK_FALSE(ask(s, "empty", 0));
+    CHECK(s.request_bytes == megabyte);
+}
+
 TEST_CASE("a request in flight is held in memory once")
 {
     order_platform p(260, 3s);
@@ -96,6 +167,35 @@
     CHECK(taken < 2 * users * long_body);
 }
 
+TEST_CASE("more long orders than a node can hold do not end it")
+{
+    constexpr int users = 60;
+    order_platform p(160, 4s);
+    auto plans = orders_of(p, users, long_body);
+    for (int n = 0; n < 10; ++n) {
+        plans.push_back(order(p, users + n, 10'000));
+        plans.back().start = n * 300ms;
+    }
+    auto const answers = support::run_calls(plans);
+    auto const with_status = [&](int status) {
+        return std::ranges::count(answers, status,
+                                  &support::call_outcome::status);
+    };
+    int ran = 0;
+    for (auto const& [version, n] : p.fake.run_counts())
+        ran += n;
+    CAPTURE(p.peak() / megabyte, ran, with_status(200), with_status(503));
+    CHECK(p.node.run->runs());
+    CHECK(p.peak() < 160 * megabyte);
+    CHECK(with_status(200) == ran);
+    CHECK(with_status(200) + with_status(503) == users + 10);
+    CHECK(std::all_of(answers.begin() + users, answers.end(),
+                      [](auto const& it) { return it.status == 200; }));
+    CHECK(support::gauge_of(p.node, "papayahook_request_bytes") == 0);
+    CHECK(support::gauge_of(p.node, "papayahook_max_request_bytes") ==
+          0.2 * 160 * megabyte);
+}
+
 TEST_CASE("long orders of many users do not take a node over its memory")
 {
     constexpr int users = 27;
