Requests that still arrive take bounded memory

Callers would see: the end of all connections of a node that is killed for its memory.

The server's sockets count what they have read since their last whole request. A connection that has an open request as well is taken last, and only closed.

The 503 has no request id: the head of a request that is still arriving is not known outside RESTinio.

--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/text.hpp"
 #include "runtime/accept_loop.hpp"
+#include "runtime/arriving_requests.hpp"
 #include "runtime/guard.hpp"
 
 #include <algorithm>
@@ -49,6 +50,7 @@
 struct traits : restinio::default_single_thread_traits_t
 {
     using connection_state_listener_t = state_listener;
+    using stream_socket_t = counted_socket;
     // RESTinio's limiter counts a connection that is reset before it is
     // accepted for ever.
     static constexpr bool use_connection_count_limiter = false;
@@ -76,8 +78,10 @@
 class responder final : public http_responder
 {
 public:
-    responder(restinio::request_handle_t request, write_counter unwritten)
-        : request_(std::move(request)), unwritten_(std::move(unwritten))
+    responder(restinio::request_handle_t request, write_counter unwritten,
+              std::shared_ptr<void> open)
+        : request_(std::move(request)), unwritten_(std::move(unwritten)),
+          open_(std::move(open))
     {
     }
 
@@ -128,7 +132,8 @@
     {
         if (!stream_)
             return;
-        stream_->done([counted = count_write(unwritten_)](auto const&) {});
+        stream_->done(
+            [counted = count_write(unwritten_), open = open_](auto const&) {});
         stream_.reset();
     }
 
@@ -152,7 +157,8 @@
             response.connection_close();
         auto counted = count_write(unwritten_, body.size());
         response.set_body(std::move(body));
-        response.done([counted = std::move(counted)](auto const&) {});
+        response.done(
+            [counted = std::move(counted), open = open_](auto const&) {});
     }
 
     void send_head(int status, header_list const& headers)
@@ -199,6 +205,7 @@
     write_counter unwritten_;
     restinio::impl::connection_handle_t connection_; // while streaming
     std::optional<stream> stream_;
+    std::shared_ptr<void> open_; // see arriving_requests::complete()
     bool closes_ = false;
 };
 
@@ -383,6 +390,8 @@
                          http_server_options const& options, handler on_request)
     : impl_(std::make_unique<impl>())
 {
+    auto& arriving = asio::use_service<arriving_requests>(io);
+    arriving.max_bytes = options.max_arriving_bytes;
     impl_->max_connections = options.max_connections;
     impl_->listener->on_close = options.on_close;
     impl_->listener->open = options.open_connections
@@ -402,11 +411,11 @@
         .write_http_response_timelimit(options.write_timeout)
         .incoming_http_msg_limits(limits)
         .connection_state_listener(impl_->listener)
-        .request_handler([on_request = std::move(on_request),
+        .request_handler([on_request = std::move(on_request), &arriving,
                           unwritten = options.unwritten](auto request) {
             auto in = convert(request);
-            auto out =
-                std::make_shared<responder>(std::move(request), unwritten);
+            auto out = std::make_shared<responder>(
+                std::move(request), unwritten, arriving.complete());
             // RESTinio would close the connection without a word.
             if (!run_guarded("request",
                              [&] { on_request(std::move(in), out); }))
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -83,6 +84,9 @@
     // May be empty. Counts the open connections; several servers that share it
     // share max_connections.
     std::shared_ptr<std::size_t> open_connections;
+    // Bytes of requests that are still arriving, at all servers of the same
+    // io_context. Beyond it the longest one is refused.
+    std::size_t max_arriving_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 class http_server
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -308,6 +308,7 @@
     auto const& it = n.options;
     http_server_options out;
     out.max_body_bytes = it.max_body_bytes;
+    out.max_arriving_bytes = it.max_arriving_bytes;
     out.max_header_bytes = it.max_header_bytes;
     out.max_header_count = it.max_header_count;
     out.max_connections = n.limits.probes;
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -37,6 +37,8 @@
     // Bytes of all answers that are buffered or not yet written. Beyond it the
     // largest answer that is still arriving is given up.
     std::size_t max_answer_bytes = 64UL * 1024 * 1024;
+    // Bytes of all requests that are still arriving.
+    std::size_t max_arriving_bytes = 64UL * 1024 * 1024;
     std::size_t max_header_count = 64;
     std::size_t max_connections = 4096; // of callers; see max_fds, too
     // Descriptors that the process may open; 0: its limit at the start.
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -215,3 +215,38 @@
     CHECK(with_status(200) + with_status(503) == users);
     CHECK(with_status(200) > 0);
 }
+
+TEST_CASE("requests whose last byte is held back do not end a node")
+{
+    constexpr int callers = 60;
+    order_platform p(160, 50ms);
+    asio::io_context io;
+    using asio::ip::tcp;
+    auto const at = p.node.front.find(':');
+    tcp::endpoint const to(
+        asio::ip::make_address(p.node.front.substr(0, at)),
+        static_cast<std::uint16_t>(std::stoi(p.node.front.substr(at + 1))));
+    std::string const head =
+        "POST /o/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+        std::to_string(long_body) + "\r\n\r\n";
+    std::string const all_but_one(long_body - 1, 'x');
+    std::vector<tcp::socket> sockets;
+    for (int n = 0; n < callers; ++n) {
+        auto& it = sockets.emplace_back(io);
+        it.connect(to);
+        std::error_code ec; // its request may be refused meanwhile
+        asio::write(it, asio::buffer(head), ec);
+        asio::write(it, asio::buffer(all_but_one), ec);
+    }
+    CHECK(support::eventually(10s, [&] {
+        return support::run_call(order(p, 1, 10'000)).status == 200;
+    }));
+    CAPTURE(p.peak() / megabyte);
+    CHECK(p.node.run->runs());
+    CHECK(p.peak() < 160 * megabyte);
+    // The first ones were given up: they were told so.
+    std::array<char, 64> buf{};
+    std::error_code ec;
+    auto const n = sockets.front().read_some(asio::buffer(buf), ec);
+    CHECK(std::string(buf.data(), n).starts_with("HTTP/1.1 503 "));
+}
