Standard output: no reader, full pipe, full disk or closed descriptor stops a node

Callers saw: when the reader of standard output goes away, the process ends by signal 13 at the next line, with all it had accepted. When the reader of papayahookd's log (standard error) only stops reading, the process stops too: no request was answered. Cause: SIGPIPE had its default action; log4cplus's console appender writes with blocking calls from the event loop. A process that starts with closed standard descriptors gave them to its event queue (fd 1 was anon_inode:[eventpoll], fd 0 an eventfd), to which lines were then written. Change: prepare_output() first in main(): SIGPIPE is ignored, closed standard descriptors are taken by /dev/null. papayahookd keeps the format and levels of log4cplus, but its lines go through the same bounded buffer, to standard error or its file; a write that fails is tried again with the next tick, so lines come back with the reader or the space. What does not fit is counted: event 104 and papayahook_log_lines_dropped_total. Not changed: several processes that share one pipe may fill it between poll() and write().

--- a/src/daemon/log_appender.cpp
+++ b/src/daemon/log_appender.cpp
@@ -2,13 +2,19 @@
 
 #include <algorithm>
 #include <array>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <iostream>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <memory>
+#include <sstream>
+#include <unistd.h>
 
 namespace papayahook::daemon {
 
@@ -19,6 +25,39 @@
 constexpr std::array frequent_events{306, 401, 402, 403, 407,
                                      408, 409, 604, 605};
 
+// The library's own appenders block when nobody reads, and lose lines without
+// counting them when a write fails.
+class buffering_appender final : public log4cplus::Appender
+{
+public:
+    ~buffering_appender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+    int number = 0; // of the event that is being logged
+
+protected:
+    void append(log4cplus::spi::InternalLoggingEvent const& it) override
+    {
+        std::ostringstream line;
+        layout->formatAndAppend(line, it);
+        runtime::buffer_line(number, line.str());
+    }
+};
+
+// Returns standard error if the file cannot be opened.
+int open_log_file(std::string const& path)
+{
+    if (path.empty())
+        return STDERR_FILENO;
+    constexpr mode_t rights = 0644;
+    int const fd =
+        open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, rights);
+    if (fd >= 0)
+        return fd;
+    std::cerr << path << ": " << std::strerror(errno) << '\n';
+    return STDERR_FILENO;
+}
+
 struct appender
 {
     appender() = default;
@@ -43,15 +82,14 @@
 runtime::log_writer open_appender(runtime::settings const& it)
 {
     auto const out = std::make_shared<appender>();
-    log4cplus::SharedAppenderPtr to;
-    if (it.log_file.empty())
-        to = new log4cplus::ConsoleAppender(true, true);
-    else
-        to = new log4cplus::FileAppender(it.log_file, std::ios_base::app, true);
+    runtime::set_log_descriptor(open_log_file(it.log_file));
+    log4cplus::helpers::SharedObjectPtr<buffering_appender> const to(
+        new buffering_appender);
     to->setLayout(std::make_unique<log4cplus::PatternLayout>(line_pattern));
-    out->logger.addAppender(to);
+    out->logger.addAppender(log4cplus::SharedAppenderPtr(to.get()));
     out->logger.setLogLevel(level_of(it.log_level));
-    return [out](int number, std::string const& line) {
+    return [out, to](int number, std::string const& line) {
+        to->number = number;
         bool const is_frequent =
             std::ranges::find(frequent_events, number) != frequent_events.end();
         if (is_frequent)
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 // papayahookd: runs one node.
 #include "codec/toml_reader.hpp"
 #include "papayahook/run.hpp"
+#include "runtime/logging.hpp"
 #include "runtime/settings.hpp"
 
 #include <cxxopts.hpp>
@@ -8,6 +9,7 @@
 
 int main(int argc, char** argv)
 {
+    papayahook::runtime::prepare_output();
     constexpr int usage_error = 2;
     cxxopts::Options options("papayahookd", "One node of papayahook");
     options.add_options()("config", "settings file (TOML)",
--- a/src/runtime/logging.hpp
+++ b/src/runtime/logging.hpp
@@ -1,5 +1,5 @@
-// Numbered log events with key=value fields. Lines go to standard output
-// through a bounded buffer that never blocks, unless another writer is set.
+// Numbered log events with key=value fields. Lines go to standard output or
+// another file through a bounded buffer that never blocks.
 #pragma once
 
 #include "papayahook/papayahook.hpp"
@@ -31,9 +31,19 @@
 using log_writer = std::function<void(int number, std::string const& line)>;
 // Sets the writer of all further lines; empty: standard output.
 void set_log_writer(log_writer it);
-// Writes buffered lines to standard output, as far as it accepts them without
-// blocking.
+
+// Makes the standard streams of the process safe to use: a reader that goes
+// away sends no signal, and closed descriptors are not given to sockets. To be
+// called first in main().
+void prepare_output();
+// Sets the file that buffered lines are written to, instead of standard output.
+void set_log_descriptor(int fd);
+// Buffers a whole line of an event, or counts it as dropped.
+void buffer_line(int number, std::string const& line);
+// Writes buffered lines, as far as the file accepts them without blocking.
 void flush_log();
+// Lines that were left out since the start.
+std::uint64_t dropped_lines();
 
 // docs/EVENTS.md lists the level of each hundred of event numbers; most events
 // are "info".
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -1,5 +1,7 @@
 #include "runtime/metrics.hpp"
 
+#include "runtime/logging.hpp"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -117,6 +119,8 @@
             links.sent, {{"direction", "sent"}});
     counter(r, "papayahook_peer_bytes_total", "Bytes on links to peers",
             links.received, {{"direction", "received"}});
+    counter(r, "papayahook_log_lines_dropped_total",
+            "Log lines that were left out", dropped_lines());
     gauge(r, "papayahook_config_offset", "Highest configuration offset",
           static_cast<double>(s.config.applied));
     gauge(r, "papayahook_open_calls", "Calls in flight",
