--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -66,21 +66,40 @@
     discard_input(it);
 }
 
-asio::execution_context::id arriving_requests::id;
+namespace {
 
-request_reader::request_reader(arriving_requests& it) : all(it)
+struct arriving_service : asio::execution_context::service
 {
-    all.readers_.insert(this);
+    using key_type = arriving_service;
+    static asio::execution_context::id id;
+
+    explicit arriving_service(asio::execution_context& it) : service(it) {}
+    void shutdown() override {}
+
+    std::shared_ptr<arriving_requests> const all =
+        std::make_shared<arriving_requests>();
+};
+
+asio::execution_context::id arriving_service::id;
+
+} // namespace
+
+std::shared_ptr<arriving_requests>
+arriving_requests::of(asio::execution_context& context)
+{
+    return asio::use_service<arriving_service>(context).all;
 }
 
-request_reader::~request_reader()
+request_reader::request_reader(std::shared_ptr<arriving_requests> it)
+    : all(std::move(it))
 {
-    all.readers_.erase(this);
-    all.bytes_ -= bytes;
+    all->readers_.insert(this);
 }
 
-arriving_requests::arriving_requests(asio::execution_context& it) : service(it)
+request_reader::~request_reader()
 {
+    all->readers_.erase(this);
+    all->bytes_ -= bytes;
 }
 
 void arriving_requests::add(request_reader& it, std::size_t bytes)
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -20,12 +20,12 @@
 // What a connection has received since its last whole request.
 struct request_reader
 {
-    explicit request_reader(arriving_requests& it);
+    explicit request_reader(std::shared_ptr<arriving_requests> it);
     ~request_reader();
     request_reader(request_reader const&) = delete;
     request_reader& operator=(request_reader const&) = delete;
 
-    arriving_requests& all;
+    std::shared_ptr<arriving_requests> all;
     std::size_t bytes = 0;
     bool given_up = false;
     std::weak_ptr<void> open_request; // expired: none of the connection is open
@@ -33,15 +33,13 @@
 };
 using request_reader_ptr = std::shared_ptr<request_reader>;
 
-// The readers of all connections of an io_context.
-class arriving_requests : public asio::execution_context::service
+// The readers of all connections of an io_context. Connections that outlive the
+// io_context share it.
+class arriving_requests
 {
 public:
-    using key_type = arriving_requests;
-    static asio::execution_context::id id;
-
-    explicit arriving_requests(asio::execution_context& it);
-    void shutdown() override {}
+    static std::shared_ptr<arriving_requests>
+    of(asio::execution_context& context);
 
     // Beyond this sum the connection with the most bytes is closed.
     std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
@@ -71,16 +69,9 @@
 class counted_socket : public asio::ip::tcp::socket
 {
 public:
-    explicit counted_socket(asio::io_context& io)
-        : asio::ip::tcp::socket(io),
-          all_(&asio::use_service<arriving_requests>(io))
-    {
-    }
-
+    using asio::ip::tcp::socket::basic_stream_socket;
     counted_socket(asio::ip::tcp::socket&& it)
-        : asio::ip::tcp::socket(std::move(it)),
-          all_(&asio::use_service<arriving_requests>(
-              asio::query(get_executor(), asio::execution::context)))
+        : asio::ip::tcp::socket(std::move(it))
     {
     }
 
@@ -88,21 +79,22 @@
     void async_read_some(Buffers const& to, Handler handler)
     {
         if (!reader_)
-            reader_ = std::make_shared<request_reader>(*all_);
+            reader_ = std::make_shared<request_reader>(arriving_requests::of(
+                asio::query(get_executor(), asio::execution::context)));
         auto const executor =
             asio::get_associated_executor(handler, get_executor());
         auto on_read = [this, r = reader_, handler = std::move(handler)](
                            std::error_code ec, std::size_t n) mutable {
             if (!ec)
-                r->all.add(*r, n);
+                r->all->add(*r, n);
             if (r->given_up) {
                 ec = asio::error::no_buffer_space;
                 if (r->open_request.expired())
                     refuse_rest(std::move(*this));
             }
-            r->all.current = r.get();
+            r->all->current = r.get();
             handler(ec, ec ? 0 : n);
-            r->all.current = nullptr;
+            r->all->current = nullptr;
         };
         asio::ip::tcp::socket::async_read_some(
             to, asio::bind_cancellation_slot(
@@ -111,7 +103,6 @@
     }
 
 private:
-    arriving_requests* all_;
     // Set by the first read: RESTinio moves a socket before, and uses the one
     // it has moved from again.
     request_reader_ptr reader_;
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -390,8 +390,8 @@
                          http_server_options const& options, handler on_request)
     : impl_(std::make_unique<impl>())
 {
-    auto& arriving = asio::use_service<arriving_requests>(io);
-    arriving.max_bytes = options.max_arriving_bytes;
+    auto const arriving = arriving_requests::of(io);
+    arriving->max_bytes = options.max_arriving_bytes;
     impl_->max_connections = options.max_connections;
     impl_->listener->on_close = options.on_close;
     impl_->listener->open = options.open_connections
@@ -411,11 +411,11 @@
         .write_http_response_timelimit(options.write_timeout)
         .incoming_http_msg_limits(limits)
         .connection_state_listener(impl_->listener)
-        .request_handler([on_request = std::move(on_request), &arriving,
+        .request_handler([on_request = std::move(on_request), arriving,
                           unwritten = options.unwritten](auto request) {
             auto in = convert(request);
             auto out = std::make_shared<responder>(
-                std::move(request), unwritten, arriving.complete());
+                std::move(request), unwritten, arriving->complete());
             // RESTinio would close the connection without a word.
             if (!run_guarded("request",
                              [&] { on_request(std::move(in), out); }))
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -5,7 +5,6 @@
 #include "support/world.hpp"
 
 #include <algorithm>
-#include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
