--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <linux/close_range.h>
 #include <poll.h>
 #include <random>
 #include <sstream>
@@ -245,6 +246,8 @@
             ::setrlimit(RLIMIT_NOFILE, &descriptors);
         ::dup2(with_pipe ? out[1] : file, STDOUT_FILENO);
         ::dup2(STDOUT_FILENO, STDERR_FILENO);
+        // The stand-ins' sockets are not to live on in the node.
+        ::close_range(3, ~0U, CLOSE_RANGE_CLOEXEC);
         ::execve(args[0], args, environment);
         ::_exit(127);
     }
