--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -582,7 +582,7 @@
 
 // Sends one request or two at once and reads the answers. Returns whether the
 // connection can be used again.
-bool exchange(world& w, line& to, std::vector<request*> const& batch, dice& d)
+bool exchange(line& to, std::vector<request*> const& batch, dice& d)
 {
     to.until = clock::now() + caller_patience;
     bool usable = true;
@@ -645,7 +645,7 @@
                 it.kept = kept || !batch.empty();
                 batch.push_back(&it);
             }
-            usable = exchange(w, to, batch, d) && !d.chance(1);
+            usable = exchange(to, batch, d) && !d.chance(1);
             std::this_thread::sleep_for(d.upto(250));
         }
         if (to.open() && d.chance(30))
