--- a/test/soak/runners.cpp
+++ b/test/soak/runners.cpp
@@ -172,7 +172,7 @@
         headers.emplace_back(wire::not_run, "1");
         return out->send(421, headers, "");
     }
-    if (in.body != pattern(it.id, it.body))
+    if (in.body.get() != pattern(it.id, it.body))
         faults_.push_back("UNASKED: " + it.id + " came with another body");
     runs_[it.id].push_back({name, clock::now()});
     auto const number_of_run = runs_[it.id].size() - 1;
--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -708,7 +708,10 @@
     if (a.end == ending::timed_out)
         return "LOST: no answer in time";
     if (!runs.empty())
-        return "LOST: it ran, and its connection was " + how;
+        return (r.after_close ? "LOST: it ran behind an answer that announced "
+                                "the close, and its connection was "
+                              : "LOST: it ran, and its connection was ") +
+               how;
     bool const read = r.whole && r.kept && !r.after_close;
     return read && r.ended - r.sent > loss_slack
                ? "LOST: it was sent long before its connection was " + how
