--- a/test/exceptions_test.cpp
+++ b/test/exceptions_test.cpp
@@ -518,9 +518,11 @@
                                 "127.0.0.1:" + std::to_string(peer_port)})
         for (auto const& bytes : documents) {
             send_bytes(address, bytes);
-            send_bytes(address, "GET /" + bytes + " HTTP/1.1\r\nHost: h\r\n" +
-                                    platform::wire::request_id + ": " + bytes +
-                                    "\r\n\r\n");
+            std::string text = "GET /";
+            text.append(bytes).append(" HTTP/1.1\r\nHost: h\r\n");
+            text.append(platform::wire::request_id).append(": ");
+            text.append(bytes).append("\r\n\r\n");
+            send_bytes(address, text);
         }
     auto odd = request(n, "/p/x", "\xff\xfe");
     run_call(odd);
--- a/test/output_test.cpp
+++ b/test/output_test.cpp
@@ -64,6 +64,7 @@
     constexpr int calls = 400;
     for (int round = 0; round < rounds; ++round) {
         std::vector<call_plan> plans;
+        plans.reserve(calls);
         for (int i = 0; i < calls; ++i)
             plans.push_back(
                 request(n, "/p/x", std::string(200, 'x') + std::to_string(i)));
