--- a/test/accept_test.cpp
+++ b/test/accept_test.cpp
@@ -14,7 +14,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
-#include <ranges>
+#include <span>
 #include <thread>
 
 using namespace papayahook;
@@ -281,7 +281,7 @@
     for (int i = 0; i < 40; ++i)
         all.push_back(connected(callers, s.address));
     s.run();
-    for (auto& it : all | std::views::drop(2)) {
+    for (auto& it : std::span(all).subspan(2)) {
         auto const answer = read_all(it);
         CHECK(answer.starts_with("HTTP/1.1 503 "));
         CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
