--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -71,7 +71,8 @@
 public:
     explicit gateway(protocol_codec it) : codec_(std::move(it)) {}
 
-    // Opens the listeners for callers, readiness probes and metrics.
+    // Opens the listeners for callers, readiness probes and metrics that are
+    // not open yet. Throws std::system_error.
     void open(node& n, address const& front, address const& readiness,
               address const& metrics);
     // Returns false if the effect concerns neither a caller nor a call.
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -20,21 +20,22 @@
 {
     auto options = listener_options(n);
     options.unwritten = n.unwritten;
-    auto const listen = [&](address const& at, auto handler) {
+    auto const open = [&](auto& out, char const* name, address const& at,
+                          auto handler) {
         options.address = at.ip;
         options.port = at.port;
-        return std::make_unique<http_server>(n.io, options, std::move(handler));
+        if (!out)
+            out = listen(n, name, options, std::move(handler));
     };
-    readiness_ = listen(
-        readiness, [this, &n](auto const&, auto out) { on_readiness(n, out); });
-    metrics_ = listen(metrics, [&n](auto const& in, auto out) {
-        on_admin_request(n, in, out);
-    });
+    open(readiness_, "readiness", readiness,
+         [this, &n](auto const&, auto out) { on_readiness(n, out); });
+    open(metrics_, "metrics", metrics,
+         [&n](auto const& in, auto out) { on_admin_request(n, in, out); });
     options = caller_listener_options(n);
     options.on_close = [this, &n](auto id) {
         asio::post(n.io, [this, &n, id] { on_caller_closed(n, id); });
     };
-    front_ = listen(front, [this, &n](auto in, auto out) {
+    open(front_, "front", front, [this, &n](auto in, auto out) {
         on_request(n, std::move(in), std::move(out));
     });
 }
--- a/src/runtime/logging.hpp
+++ b/src/runtime/logging.hpp
@@ -20,6 +20,7 @@
 inline constexpr int accept_failed = 110;
 inline constexpr int handler_failed = 109;
 inline constexpr int arriving_request_closed = 412;
+inline constexpr int address_awaited = 108;
 inline constexpr int entry_skipped = 207;
 inline constexpr int store_failed = 305;
 inline constexpr int api_failed = 804;
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/post.hpp>
+#include <cerrno>
 #include <iostream>
 
 namespace papayahook::runtime {
@@ -18,6 +19,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto tick_period = 50ms;
+constexpr auto listen_retry = 250ms;
+constexpr auto awaited_log_period = 1s;
 
 std::string make_proof(node const& n, core::hello const& it)
 {
@@ -225,26 +228,33 @@
     return out;
 }
 
+std::system_error listen_error(std::string const& name, address const& at,
+                               std::system_error const& why)
+{
+    return {why.code(), "cannot listen, " + name + " " + at.text()};
+}
+
 void open_builtin_interfaces(node& n)
 {
-    auto options = caller_listener_options(n);
+    auto options = listener_options(n);
+    options.unwritten = n.unwritten;
+    options.address = n.options.admin.ip;
+    options.port = n.options.admin.port;
+    if (!n.admin)
+        n.admin =
+            listen(n, "admin", options, [&n](auto const& in, auto const& out) {
+                on_admin_request(n, in, out);
+            });
+    options = caller_listener_options(n);
     options.address = n.options.caller.ip;
     options.port = n.options.caller.port;
     options.on_close = [&n](auto id) {
         asio::post(n.io, [&n, id] { on_caller_closed(n, id); });
     };
-    n.callers = std::make_unique<http_server>(
-        n.io, options, [&n](http_request in, responder_ptr out) {
+    if (!n.callers)
+        n.callers = listen(n, "caller", options, [&n](auto in, auto out) {
             on_caller_request(n, std::move(in), std::move(out));
         });
-    options = listener_options(n);
-    options.unwritten = n.unwritten;
-    options.address = n.options.admin.ip;
-    options.port = n.options.admin.port;
-    n.admin = std::make_unique<http_server>(
-        n.io, options, [&n](http_request const& in, responder_ptr const& out) {
-            on_admin_request(n, in, out);
-        });
 }
 
 void open_links(node& n)
@@ -260,9 +270,15 @@
     handlers.on_close = [&n](link_id it, std::string const&) {
         on_link_closed(n, it);
     };
-    n.links = std::make_unique<peer_links>(
-        n.io, n.options.peer.ip, n.options.peer.port,
-        n.options.max_peer_message_bytes, n.limits.peers, std::move(handlers));
+    try {
+        n.links = std::make_unique<peer_links>(
+            n.io, n.options.peer.ip, n.options.peer.port,
+            n.options.max_peer_message_bytes, n.limits.peers,
+            std::move(handlers));
+    }
+    catch (std::system_error const& e) {
+        throw listen_error("peer", n.options.peer, e);
+    }
 }
 
 } // namespace
@@ -326,6 +342,19 @@
     return out;
 }
 
+std::unique_ptr<http_server> listen(node& n, std::string const& name,
+                                    http_server_options const& options,
+                                    http_server::handler on_request)
+{
+    try {
+        return std::make_unique<http_server>(n.io, options,
+                                             std::move(on_request));
+    }
+    catch (std::system_error const& e) {
+        throw listen_error(name, {options.address, options.port}, e);
+    }
+}
+
 void run_after(node& n, std::chrono::milliseconds delay,
                std::function<void()> act)
 {
@@ -441,7 +470,6 @@
 
 void start_builtin_interfaces(node& n)
 {
-    open_builtin_interfaces(n);
     read_log(n, "config");
     read_log(n, "claims");
     read_instances(n);
@@ -451,7 +479,6 @@
 
 void start(node& n)
 {
-    open_links(n);
     if (n.platform_adapter)
         n.platform_adapter->start(n);
     else
@@ -465,6 +492,50 @@
     tick(n);
 }
 
+// The links come last: peers take a node that they reach for one that runs.
+void open_listeners(node& n)
+{
+    if (n.platform_adapter)
+        n.platform_adapter->open(n);
+    else
+        open_builtin_interfaces(n);
+    if (!n.links)
+        open_links(n);
+}
+
+// A process that still drains holds its addresses, and those of a machine may
+// come later than its processes.
+bool may_become_free(std::error_code const& ec)
+{
+    // Asio's category has no mapping to std::errc.
+    return ec.value() == EADDRINUSE || ec.value() == EADDRNOTAVAIL;
+}
+
+void start_when_listening(node& n)
+{
+    try {
+        open_listeners(n);
+    }
+    catch (std::system_error const& e) {
+        if (!may_become_free(e.code())) {
+            std::cerr << e.what() << '\n';
+            n.exit_status = 2;
+            n.io.stop();
+            return;
+        }
+        auto const at = std::chrono::steady_clock::now();
+        if (at >= n.address_awaited_at + awaited_log_period) {
+            n.address_awaited_at = at;
+            write_log(
+                {events::address_awaited, n.options.core.name, "", e.what()});
+            flush_log();
+        }
+        run_after(n, listen_retry, [&n] { start_when_listening(n); });
+        return;
+    }
+    start(n);
+}
+
 // Signals reach the handlers of node::signals while this object exists. It is
 // destroyed before them, so that none has its default action afterwards.
 struct signal_scope
@@ -491,15 +562,14 @@
         wait_for_signal(n);
         n.io.poll(); // handles the signals that came before
         if (!n.state.leaving)
-            start(n);
+            start_when_listening(n);
         run_loop(n.io);
         write_log({events::node_stopped, n.options.core.name, "",
                    describe_open(n) + describe_signals(n)});
-        if (n.core_failed)
-            result = core_failed_status;
+        result = n.core_failed ? core_failed_status : n.exit_status;
     }
     catch (std::system_error const& e) {
-        std::cerr << "listen: " << e.what() << '\n';
+        std::cerr << e.what() << '\n';
         result = 2;
     }
     catch (...) {
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -23,7 +23,9 @@
 {
 public:
     virtual ~adapter() = default;
-    virtual void start(node& n) = 0;  // opens listeners, starts reading
+    // Opens the listeners that are not open yet. Throws std::system_error.
+    virtual void open(node& n) = 0;
+    virtual void start(node& n) = 0;  // starts reading; all listeners are open
     virtual void reload(node& n) = 0; // the settings may have changed
     // Returns false if the node is to carry out the effect itself.
     virtual bool perform(node& n, core::effect const& effect) = 0;
@@ -84,8 +86,10 @@
     asio::steady_timer tick_timer;
     std::deque<core::event> events; // queued while another one is handled
     bool handling = false;
-    bool has_started = false;                // its listeners are open
-    bool core_failed = false;                // the state may be half changed
+    bool has_started = false; // its listeners are open
+    bool core_failed = false; // the state may be half changed
+    int exit_status = 0;
+    std::chrono::steady_clock::time_point address_awaited_at{}; // last line
     std::optional<core::time_point> wake_at; // time of the pending extra tick
     std::map<int, int> signals_seen;         // by signal number
     std::uint64_t next_request = 1;
@@ -109,6 +113,11 @@
 int run_node(settings it, std::unique_ptr<adapter> platform_adapter);
 // Time since boot, including time suspended.
 std::chrono::nanoseconds time_since_boot();
+// Opens a listener of this name. Throws std::system_error, which says the name
+// and the address.
+std::unique_ptr<http_server> listen(node& n, std::string const& name,
+                                    http_server_options const& options,
+                                    http_server::handler on_request);
 core::time_point now(node const& n);
 using event_body = decltype(core::event::body);
 void handle(node& n, event_body what);
--- a/src/runtime/signals.cpp
+++ b/src/runtime/signals.cpp
@@ -25,4 +25,12 @@
     change_mask(SIG_UNBLOCK);
 }
 
+bool is_stop_pending() noexcept
+{
+    sigset_t pending;
+    sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 ||
+           sigismember(&pending, SIGINT) == 1;
+}
+
 } // namespace papayahook::runtime
--- a/src/runtime/signals.hpp
+++ b/src/runtime/signals.hpp
@@ -13,5 +13,7 @@
 // Of the calling thread and the threads that it starts.
 void block_signals() noexcept;
 void unblock_signals() noexcept;
+// SIGTERM or SIGINT came while they were blocked.
+bool is_stop_pending() noexcept;
 
 } // namespace papayahook::runtime
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -7,8 +7,10 @@
 #include "support/platform_nodes.hpp"
 
 #include <array>
+#include <asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -127,6 +129,12 @@
     sigset_t before_{};
 };
 
+std::uint16_t port_of(std::string const& address)
+{
+    return static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.find(':') + 1)));
+}
+
 // A node of either program with its settings.
 struct starting_node
 {
@@ -135,6 +143,9 @@
         if (!daemon) {
             n = settings_of_node("n1", fake, free_port());
             read_at_start = n.settings;
+            auto const metrics = port_of(n.metrics);
+            ports = {port_of(n.front), port_of(n.readiness), metrics,
+                     static_cast<std::uint16_t>(metrics - 14)};
             return;
         }
         auto const folder = make_folder("papayahookd");
@@ -143,9 +154,10 @@
         n.log = folder + "/log";
         read_at_start = folder + "/key";
         std::ofstream(read_at_start) << "a key of peers, long enough\n";
-        auto const listen = [](char const* name) {
+        auto const listen = [this](char const* name) {
+            ports.push_back(free_port());
             return std::string(name) +
-                   " = \"127.0.0.1:" + std::to_string(free_port()) + "\"\n";
+                   " = \"127.0.0.1:" + std::to_string(ports.back()) + "\"\n";
         };
         std::ofstream(n.settings)
             << "[node]\nname = \"n1\"\nzone = \"zone-a\"\n[listen]\n"
@@ -175,6 +187,7 @@
     bool is_daemon;
     platform_fake fake;
     platform_node n;
+    std::vector<std::uint16_t> ports; // that it listens on
     std::string read_at_start; // a file that is read before the loop runs
 };
 
@@ -278,3 +291,111 @@
             signals_of_operators.at(sent++ % signals_of_operators.size()));
     CHECK(it.n.run->wait(0ms) == 0);
 }
+
+TEST_CASE("a process whose addresses are taken waits until they are free")
+{
+    namespace wire = platform::wire;
+    bool const daemon = GENERATE(false, true);
+    auto const which = GENERATE(0U, 1U, 2U, 3U);
+    starting_node it(daemon);
+    if (which >= it.ports.size())
+        return;
+    CAPTURE(daemon, which);
+    asio::io_context io;
+    asio::ip::tcp::acceptor other(
+        io, {asio::ip::address_v4::loopback(), it.ports[which]});
+    fcntl(other.native_handle(), F_SETFD, FD_CLOEXEC);
+    it.start();
+    auto const address = "127.0.0.1:" + std::to_string(it.ports[which]);
+    CHECK(eventually(10s, [&] {
+        return it.has_logged("event=108") && it.has_logged(address);
+    }));
+    std::this_thread::sleep_for(500ms);
+    CHECK(it.n.run->runs());
+    CHECK_FALSE(it.has_logged("event=101"));
+    CHECK(it.fake.newest(wire::own_topic, wire::node_key + it.n.name).empty());
+    SECTION("they become free")
+    {
+        other.close();
+        CHECK(eventually(10s, [&] { return it.has_logged("event=101"); }));
+        if (!daemon)
+            CHECK(eventually(10s, [&] {
+                return !it.fake
+                            .newest(wire::own_topic, wire::node_key + it.n.name)
+                            .empty();
+            }));
+    }
+    SECTION("a stop comes first")
+    {
+        it.n.run->signal(SIGTERM);
+        CHECK(it.n.run->wait(5s) == 0);
+        CHECK_FALSE(it.has_logged("event=101"));
+    }
+}
+
+namespace {
+
+void replace_in_file(std::string const& file, std::string const& what,
+                     std::string const& by)
+{
+    auto text = read_file(file);
+    for (auto at = text.find(what); at != text.npos;
+         at = text.find(what, at + by.size()))
+        text.replace(at, what.size(), by);
+    std::ofstream(file) << text;
+}
+
+} // namespace
+
+TEST_CASE("a process waits for an address that its machine does not have yet")
+{
+    bool const daemon = GENERATE(false, true);
+    starting_node it(daemon);
+    auto const at = ":" + std::to_string(it.ports[0]);
+    replace_in_file(it.n.settings, "127.0.0.1" + at, "192.0.2.1" + at);
+    it.start();
+    CHECK(eventually(10s, [&] {
+        return it.has_logged("event=108") && it.has_logged("192.0.2.1" + at);
+    }));
+    CHECK(it.n.run->runs());
+    it.n.run->signal(SIGINT);
+    CHECK(it.n.run->wait(5s) == 0);
+}
+
+TEST_CASE("a process that cannot listen ends with a message that says where")
+{
+    starting_node it(false);
+    replace_in_file(it.n.settings, "\nip=127.0.0.1", "\nip=nowhere");
+    it.start();
+    CHECK(it.n.run->wait(10s) == 2);
+    CHECK(it.has_logged("metrics nowhere:" + std::to_string(it.ports[2])));
+}
+
+TEST_CASE("settings that are written while the node starts are used")
+{
+    starting_node it(false);
+    auto const text = read_file(it.n.settings);
+    bool const is_missing = GENERATE(false, true);
+    if (is_missing)
+        std::filesystem::remove(it.n.settings);
+    else
+        std::ofstream(it.n.settings) << text.substr(0, text.size() / 4);
+    it.start();
+    std::this_thread::sleep_for(700ms);
+    REQUIRE(it.n.run->runs());
+    SECTION("written")
+    {
+        std::ofstream(it.n.settings) << text;
+        CHECK(eventually(10s, [&] { return it.has_logged("event=101"); }));
+    }
+    SECTION("not written")
+    {
+        CHECK(it.n.run->wait(10s) == 2);
+        CHECK(it.has_logged(it.n.settings));
+    }
+    SECTION("stopped")
+    {
+        it.n.run->signal(SIGTERM);
+        CHECK(it.n.run->wait(10s) == 0);
+    }
+}
