--- a/test/node_test.cpp
+++ b/test/node_test.cpp
@@ -31,6 +31,7 @@
     {
     }
     ~recording_adapter() override { destroyed_after_loop = loop_ended; }
+    void open(runtime::node&) override {}
     void start(runtime::node&) override {}
     void reload(runtime::node&) override {}
     bool perform(runtime::node&, core::effect const&) override { return true; }
