A stopping node announces the close only in the answer to the newest request

Cause: while the node leaves, each answer announced the close of its connection. RESTinio closes after that answer, and drops the answer to the request behind it, which had been read and passed on. One id was kept for each connection, too: the second request replaced the first, and the end of either removed both, so that a caller who left was not noticed.

Change: a connection knows its open requests and the newest one. Only the answer to that one announces the close, and what comes behind it is not passed on: it crossed the close.

--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -50,6 +50,15 @@
     std::uint64_t next_index = 0; // index of the chunk that follows `pending`
 };
 
+// A connection of a caller, which may have several requests open at once.
+struct caller_connection
+{
+    std::vector<core::request_id> open;
+    core::request_id newest;
+    // An answer has announced that the connection closes after it.
+    bool closes = false;
+};
+
 // The endpoint's side of a call.
 struct gateway_call
 {
@@ -83,6 +92,8 @@
     void on_request(node& n, http_request in, responder_ptr out);
     void on_readiness(node& n, responder_ptr const& out);
     void on_caller_closed(node& n, std::uint64_t connection);
+    void announce_close(node& n, core::request_id const& id, open_caller& c);
+    std::optional<open_caller> take_caller(core::request_id const& id);
     void flush(node& n, core::request_id const& id);
     void post_flush(node& n, core::request_id const& id, open_caller& c);
     void carry_out(node& n, core::refuse const& it);
@@ -111,7 +122,7 @@
     std::unique_ptr<http_server> readiness_;
     std::unique_ptr<http_server> metrics_;
     std::map<core::request_id, open_caller> callers_;
-    std::map<std::uint64_t, core::request_id> by_connection_;
+    std::map<std::uint64_t, caller_connection> connections_;
     std::map<core::call_id, gateway_call> calls_;
     std::size_t buffered_ = 0; // bytes in `calls_`
     std::uint64_t next_request_ = 1;
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -50,11 +50,16 @@
 {
     auto const sent_id =
         std::string(header_value(in.headers, codec_.request_id));
-    if (n.state.leaving)
-        out->close_after_answer();
     // Callers may use an id more than once; the number makes it unique here.
     auto const id = sent_id + "#" + std::to_string(next_request_++);
+    auto& connection = connections_[in.connection_id];
+    if (connection.closes)
+        return; // it crossed the close, and its answer could not be sent
+    connection.newest = id;
     if (sent_id.empty()) {
+        connection.closes = n.state.leaving;
+        if (connection.closes)
+            out->close_after_answer();
         out->send(400, {}, "the request has no id\n");
         return;
     }
@@ -65,7 +70,7 @@
     auto const route = n.state.config.routes.find(event.route);
     c.streams =
         route != n.state.config.routes.end() && route->second.value.streams;
-    by_connection_[in.connection_id] = id;
+    connection.open.push_back(id);
     c.request = std::move(in);
     c.out = std::move(out);
     callers_.emplace(id, std::move(c));
@@ -74,23 +79,45 @@
 
 void gateway::on_caller_closed(node& n, std::uint64_t connection)
 {
-    auto const node = by_connection_.extract(connection);
-    if (node.empty() || callers_.erase(node.mapped()) == 0)
+    auto const node = connections_.extract(connection);
+    if (node.empty())
         return;
-    handle(n, core::caller_gone{node.mapped()});
+    for (auto const& id : node.mapped().open)
+        if (callers_.erase(id) != 0)
+            handle(n, core::caller_gone{id});
 }
 
-void gateway::carry_out(node& n, core::refuse const& it)
+// The HTTP server closes the connection after the answer that announces it, and
+// drops the answers to later requests.
+void gateway::announce_close(node& n, core::request_id const& id,
+                             open_caller& c)
+{
+    auto const it = connections_.find(c.request.connection_id);
+    if (!n.state.leaving || it == connections_.end() || it->second.newest != id)
+        return;
+    it->second.closes = true;
+    c.out->close_after_answer();
+}
+
+std::optional<open_caller> gateway::take_caller(core::request_id const& id)
 {
-    auto const node = callers_.extract(it.id);
+    auto node = callers_.extract(id);
     if (node.empty())
+        return std::nullopt;
+    auto const it = connections_.find(node.mapped().request.connection_id);
+    if (it != connections_.end())
+        std::erase(it->second.open, id);
+    return std::move(node.mapped());
+}
+
+void gateway::carry_out(node& n, core::refuse const& it)
+{
+    auto c = take_caller(it.id);
+    if (!c)
         return;
-    auto& c = node.mapped();
-    by_connection_.erase(c.request.connection_id);
-    auto answer = codec_.refusal_answer(c.request_id, it.why);
-    if (n.state.leaving)
-        c.out->close_after_answer();
-    c.out->send(answer.status, answer.headers, std::move(answer.body));
+    auto answer = codec_.refusal_answer(c->request_id, it.why);
+    announce_close(n, it.id, *c);
+    c->out->send(answer.status, answer.headers, std::move(answer.body));
 }
 
 void gateway::carry_out(node&, core::send_head const& it)
@@ -132,8 +159,7 @@
     c.flush_posted = false;
     if (!c.started) {
         c.started = true;
-        if (n.state.leaving)
-            c.out->close_after_answer();
+        announce_close(n, id, c);
         c.out->start(c.status, c.headers);
     }
     if (c.pending.empty())
@@ -153,16 +179,13 @@
         return;
     if (found->second.started)
         flush(n, it.id);
-    auto const node = callers_.extract(it.id);
-    auto& c = node.mapped();
-    by_connection_.erase(c.request.connection_id);
-    if (c.started) {
-        c.out->finish();
+    auto c = take_caller(it.id);
+    if (c->started) {
+        c->out->finish();
         return;
     }
-    if (n.state.leaving)
-        c.out->close_after_answer();
-    c.out->send(c.status, c.headers, std::move(c.pending));
+    announce_close(n, it.id, *c);
+    c->out->send(c->status, c->headers, std::move(c->pending));
 }
 
 void gateway::carry_out(node& n, core::fail_answer const& it)
@@ -176,9 +199,8 @@
         return;
     }
     flush(n, it.id);
-    auto const node = callers_.extract(it.id);
-    by_connection_.erase(node.mapped().request.connection_id);
-    node.mapped().out->abort();
+    if (auto const c = take_caller(it.id))
+        c->out->abort();
 }
 
 } // namespace papayahook::runtime
--- a/test/exceptions_test.cpp
+++ b/test/exceptions_test.cpp
@@ -229,6 +229,7 @@
 struct throwing_adapter final : runtime::adapter
 {
     explicit throwing_adapter(core::effects& out) : seen(out) {}
+    void open(runtime::node&) override {}
     void start(runtime::node&) override {}
     void reload(runtime::node&) override {}
     bool perform(runtime::node&, core::effect const& it) override
@@ -313,6 +314,7 @@
         : on_start(std::move(at_start)), on_reload(std::move(at_reload))
     {
     }
+    void open(runtime::node&) override {}
     void start(runtime::node& n) override { on_start(n); }
     void reload(runtime::node& n) override { on_reload(n); }
     bool perform(runtime::node&, core::effect const& it) override
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the life of a process, from its start to its end, against signals
 // and against what it finds on its machine.
 #include "platform/wire.hpp"
+#include "runtime/settings.hpp"
 #include "support/client.hpp"
 #include "support/fleet.hpp"
 #include "support/platform_fake.hpp"
@@ -8,6 +9,8 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fcntl.h>
@@ -399,3 +402,64 @@
         CHECK(it.n.run->wait(10s) == 0);
     }
 }
+
+namespace {
+
+// Sends two requests at once and returns all bytes until the connection ends.
+std::string answers_to_two_requests(platform_node const& n,
+                                    std::string const& path)
+{
+    asio::io_context io;
+    asio::ip::tcp::socket it(io);
+    auto const at = runtime::parse_address(n.front);
+    it.connect({asio::ip::make_address(at->ip), at->port});
+    std::string requests;
+    for (auto const* const id : {"one", "two"})
+        requests += "GET " + path +
+                    " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n" +
+                    std::string(platform::wire::request_id) + ": " + id +
+                    "\r\n\r\n";
+    asio::write(it, asio::buffer(requests));
+    std::string out;
+    std::error_code ec; // the end of the connection is expected
+    asio::read(it, asio::dynamic_buffer(out), ec);
+    return out;
+}
+
+} // namespace
+
+// The close that the first answer announced dropped the answer to the second.
+TEST_CASE("both of two requests sent at once are answered by a stopping node")
+{
+    auto const path = GENERATE(std::string("/p/x"), std::string("/s/x"));
+    small_platform p;
+    p.fake.add_runner({"i-2", "slow", "v1", false, 900ms, 300ms});
+    p.fake.put(platform::wire::operator_topic,
+               platform::wire::configuration_key, R"({"routes":[
+{"name":"p","host":"h","path_prefix":"/p/","route_type":"non_idempotent",
+ "timeout_ms":30000,"service":"slow","attempts":1},
+{"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
+ "timeout_ms":30000,"service":"slow","attempts":1}],
+"services":[{"name":"slow"}],
+"tenants":[{"name":"acme","api_keys":["k1"]}]})");
+    std::this_thread::sleep_for(2s); // until the records are read
+    auto& node = p.nodes[0];
+    std::thread stopper([&] {
+        std::this_thread::sleep_for(300ms);
+        node.run->signal(SIGTERM);
+    });
+    auto const answers = answers_to_two_requests(node, path);
+    stopper.join();
+    CAPTURE(path, answers);
+    auto const count = [&](std::string const& text) {
+        int n = 0;
+        for (auto at = answers.find(text); at != answers.npos;
+             at = answers.find(text, at + 1))
+            ++n;
+        return n;
+    };
+    CHECK(count("HTTP/1.1 200") == 2);
+    CHECK(count(path == "/p/x" ? "answer to " : "data: c") == 2);
+    CHECK(count("Connection: close") == 1);
+    CHECK(node.run->wait(10s) == 0);
+}
