--- a/src/runtime/admin.cpp
+++ b/src/runtime/admin.cpp
@@ -37,11 +37,20 @@
     return !n.state.leaving && n.state.config.applied != 0 && knows_members(n);
 }
 
+// The links are opened last, so the node may have none yet.
+link_bytes link_bytes_of(node const& n)
+{
+    return n.links
+               ? link_bytes{n.links->bytes_sent(), n.links->bytes_received()}
+               : link_bytes{};
+}
+
 std::vector<connection_use> connections_of(node const& n)
 {
+    auto const peers = n.links ? n.links->open_connections() : 0;
     return {{"callers", *n.open_callers, n.limits.callers},
             {"endpoints", n.client.limited_connections(), n.limits.endpoints},
-            {"peers", n.links->open_connections(), n.limits.peers}};
+            {"peers", peers, n.limits.peers}};
 }
 
 std::string explain(core::node_state const& s, std::string const& subject)
@@ -65,10 +74,8 @@
     else if (in.path == "/state")
         send_text(out, 200, json_type, codec::state_to_json(s));
     else if (in.path == "/metrics")
-        send_text(
-            out, 200, "text/plain; version=0.0.4",
-            metrics_text(s, {n.links->bytes_sent(), n.links->bytes_received()},
-                         connections_of(n)));
+        send_text(out, 200, "text/plain; version=0.0.4",
+                  metrics_text(s, link_bytes_of(n), connections_of(n)));
     else if (in.path == "/healthz")
         send_text(out, 200, "text/plain", "ok\n");
     else if (in.path == "/readyz")
--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -108,7 +108,8 @@
     bytes_ += bytes;
     // A connection without an open request loses nothing that was accepted.
     auto const rank = [](auto const* n) {
-        return std::tuple(!n->given_up, n->open_request.expired(), n->bytes);
+        return std::tuple(!n->given_up && n->bytes != 0,
+                          n->open_request.expired(), n->bytes);
     };
     while (bytes_ > max_bytes) {
         auto* const largest = *std::ranges::max_element(readers_, {}, rank);
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -205,6 +205,7 @@
     n.signals.async_wait([&n](auto ec, int number) {
         if (ec)
             return;
+        wait_for_signal(n); // first: an exception must not end the waiting
         int const seen = ++n.signals_seen[number];
         write_log({events::signal_received, n.options.core.name, "",
                    "SIG" + std::string(sigabbrev_np(number)) + ", number " +
@@ -216,7 +217,6 @@
             if (!n.has_started)
                 n.io.stop(); // it has accepted nothing
         }
-        wait_for_signal(n);
     });
 }
 
@@ -511,16 +511,22 @@
     return ec.value() == EADDRINUSE || ec.value() == EADDRNOTAVAIL;
 }
 
+void fail_start(node& n, char const* why)
+{
+    std::cerr << why << '\n';
+    n.exit_status = 2;
+    n.io.stop();
+}
+
 void start_when_listening(node& n)
 {
     try {
         open_listeners(n);
+        start(n);
     }
     catch (std::system_error const& e) {
-        if (!may_become_free(e.code())) {
-            std::cerr << e.what() << '\n';
-            n.exit_status = 2;
-            n.io.stop();
+        if (n.has_started || !may_become_free(e.code())) {
+            fail_start(n, e.what());
             return;
         }
         auto const at = std::chrono::steady_clock::now();
@@ -531,9 +537,10 @@
             flush_log();
         }
         run_after(n, listen_retry, [&n] { start_when_listening(n); });
-        return;
     }
-    start(n);
+    catch (std::exception const& e) {
+        fail_start(n, e.what());
+    }
 }
 
 // Signals reach the handlers of node::signals while this object exists. It is
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -295,6 +295,26 @@
     CHECK(it.n.run->wait(0ms) == 0);
 }
 
+TEST_CASE("metrics are read while a node waits for the address of its links")
+{
+    platform_fake fake;
+    auto const port = free_port();
+    asio::io_context io;
+    asio::ip::tcp::acceptor taken(io, {asio::ip::address_v4::loopback(), port},
+                                  true);
+    ::fcntl(taken.native_handle(), F_SETFD, FD_CLOEXEC);
+    auto const n = make_node("n1", fake, port);
+    CHECK(eventually(10s, [&] {
+        return get(n.metrics, "/metrics").find("papayahook_open_connections") !=
+               std::string::npos;
+    }));
+    CHECK(n.run->runs());
+    taken.close();
+    CHECK(eventually(10s, [&] {
+        return read_file(n.log).find("event=101 ") != std::string::npos;
+    }));
+}
+
 TEST_CASE("a process whose addresses are taken waits until they are free")
 {
     namespace wire = platform::wire;
