--- a/test/support/platform_fake.hpp
+++ b/test/support/platform_fake.hpp
@@ -17,8 +17,8 @@
     std::string name;
     std::string service;
     std::string version = "v1";
-    bool fails = false;                    // answers 500
-    std::chrono::milliseconds run_time{5}; // delay of the answer
+    bool fails = false;                     // answers 500
+    std::chrono::milliseconds run_time{5};  // delay of the answer
     std::chrono::milliseconds event_gap{0}; // between the events of a stream
 };
 
