--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -64,12 +64,9 @@
           static_cast<double>(core::quarantined_parts(s).size()));
 }
 
-} // namespace
-
-std::string metrics_text(core::node_state const& s, link_bytes links,
-                         std::vector<connection_use> const& connections)
+void add_connections(prometheus::Registry& r,
+                     std::vector<connection_use> const& connections)
 {
-    prometheus::Registry r;
     for (auto const& it : connections) {
         gauge(r, "papayahook_open_connections", "Open connections by kind",
               static_cast<double>(it.open), {{"kind", it.kind}});
@@ -77,6 +74,24 @@
               "Connections of a kind that the descriptors allow",
               static_cast<double>(it.limit), {{"kind", it.kind}});
     }
+}
+
+void add_request_memory(prometheus::Registry& r, core::node_state const& s)
+{
+    gauge(r, "papayahook_request_bytes", "Bytes of the bodies of open requests",
+          static_cast<double>(s.request_bytes));
+    gauge(r, "papayahook_max_request_bytes",
+          "Bytes beyond which requests are refused",
+          static_cast<double>(s.settings.max_request_bytes));
+}
+
+} // namespace
+
+std::string metrics_text(core::node_state const& s, link_bytes links,
+                         std::vector<connection_use> const& connections)
+{
+    prometheus::Registry r;
+    add_connections(r, connections);
     auto const& n = s.counts;
     counter(r, "papayahook_requests_total", "Requests received", n.requests);
     counter(r, "papayahook_answers_total", "Whole answers", n.answered);
@@ -125,11 +140,7 @@
           static_cast<double>(s.config.applied));
     gauge(r, "papayahook_open_calls", "Calls in flight",
           static_cast<double>(s.calls.size()));
-    gauge(r, "papayahook_request_bytes", "Bytes of the bodies of open requests",
-          static_cast<double>(s.request_bytes));
-    gauge(r, "papayahook_max_request_bytes",
-          "Bytes beyond which requests are refused",
-          static_cast<double>(s.settings.max_request_bytes));
+    add_request_memory(r, s);
     gauge(r, "papayahook_log_reachable", "1 when the log answers",
           s.log_reachable ? 1 : 0);
     if (s.store_as_of != core::time_point{})
