--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -76,6 +76,17 @@
     }
 }
 
+void add_peer_traffic(prometheus::Registry& r, core::node_state const& s,
+                      link_bytes links)
+{
+    counter(r, "papayahook_peer_messages_total", "Messages sent to peers",
+            s.counts.peer_messages);
+    counter(r, "papayahook_peer_bytes_total", "Bytes on links to peers",
+            links.sent, {{"direction", "sent"}});
+    counter(r, "papayahook_peer_bytes_total", "Bytes on links to peers",
+            links.received, {{"direction", "received"}});
+}
+
 void add_request_memory(prometheus::Registry& r, core::node_state const& s)
 {
     gauge(r, "papayahook_request_bytes", "Bytes of the bodies of open requests",
@@ -128,12 +139,7 @@
     counter(r, "papayahook_log_appends_total", "Appends to the log", n.appends);
     counter(r, "papayahook_claims_total", "Claims of idempotency keys",
             n.claims);
-    counter(r, "papayahook_peer_messages_total", "Messages sent to peers",
-            n.peer_messages);
-    counter(r, "papayahook_peer_bytes_total", "Bytes on links to peers",
-            links.sent, {{"direction", "sent"}});
-    counter(r, "papayahook_peer_bytes_total", "Bytes on links to peers",
-            links.received, {{"direction", "received"}});
+    add_peer_traffic(r, s, links);
     counter(r, "papayahook_log_lines_dropped_total",
             "Log lines that were left out", dropped_lines());
     gauge(r, "papayahook_config_offset", "Highest configuration offset",
