Signals without a pause hold up no request and no end of a process

What callers saw: while somebody sent a node signals in a loop, it answered nothing, and a node that was told to stop never ended.

Cause: asio::signal_set reads its pipe until nothing is left, within one turn of the loop. On this machine a sender is as fast as the handler, so that the turn does not end. gdb, three times in a second: pipe_read_op::do_perform.

Ruled out: the drain (it had not begun), the test's own loop (it ends with the process), load (nothing ran beside it).

Change: signals stay blocked for the life of the process and are read from a signalfd, one read in 10 ms; the kernel holds one of each kind meanwhile. So the window between handlers and mask is gone too.

The first of the two now ends after 10 s, where it had no bound.

--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -4,7 +4,6 @@
 #include "codec/json.hpp"
 #include "runtime/guard.hpp"
 #include "runtime/logging.hpp"
-#include "runtime/signals.hpp"
 
 #include <algorithm>
 #include <array>
@@ -200,24 +199,19 @@
 }
 
 // No signal, however often it comes, cuts short what an earlier one began.
-void wait_for_signal(node& n)
-{
-    n.signals.async_wait([&n](auto ec, int number) {
-        if (ec)
-            return;
-        wait_for_signal(n); // first: an exception must not end the waiting
-        int const seen = ++n.signals_seen[number];
-        write_log({events::signal_received, n.options.core.name, "",
-                   "SIG" + std::string(sigabbrev_np(number)) + ", number " +
-                       std::to_string(seen) + "; " + describe_open(n)});
-        if (number == SIGHUP && n.platform_adapter && n.has_started)
-            run_guarded("reload", [&n] { n.platform_adapter->reload(n); });
-        if (number == SIGTERM || number == SIGINT) {
-            handle(n, core::shutdown_requested{});
-            if (!n.has_started)
-                n.io.stop(); // it has accepted nothing
-        }
-    });
+void on_signal(node& n, int number)
+{
+    int const seen = ++n.signals_seen[number];
+    write_log({events::signal_received, n.options.core.name, "",
+               "SIG" + std::string(sigabbrev_np(number)) + ", number " +
+                   std::to_string(seen) + "; " + describe_open(n)});
+    if (number == SIGHUP && n.platform_adapter && n.has_started)
+        run_guarded("reload", [&n] { n.platform_adapter->reload(n); });
+    if (number == SIGTERM || number == SIGINT) {
+        handle(n, core::shutdown_requested{});
+        if (!n.has_started)
+            n.io.stop(); // it has accepted nothing
+    }
 }
 
 std::string describe_signals(node const& n)
@@ -289,8 +283,6 @@
       boot_at_start(time_since_boot()), client(io, limits.endpoints),
       platform_adapter(std::move(adapter)), signals(io), tick_timer(io)
 {
-    for (int const it : handled_signals)
-        signals.add(it);
     options.core.peer_address = options.peer.text();
     state.settings = options.core;
     state.settings.incarnation = static_cast<std::uint64_t>(
@@ -543,16 +535,6 @@
     }
 }
 
-// Signals reach the handlers of node::signals while this object exists. It is
-// destroyed before them, so that none has its default action afterwards.
-struct signal_scope
-{
-    signal_scope() { unblock_signals(); }
-    signal_scope(signal_scope const&) = delete;
-    signal_scope& operator=(signal_scope const&) = delete;
-    ~signal_scope() { block_signals(); }
-};
-
 } // namespace
 
 int run_node(settings it, std::unique_ptr<adapter> platform_adapter)
@@ -561,12 +543,11 @@
     try {
         block_signals();
         node n(std::move(it), std::move(platform_adapter));
-        signal_scope const signals;
         if (!n.options.record_file.empty()) {
             n.recording.open(n.options.record_file);
             n.recording << codec::settings_to_line(n.state.settings) << '\n';
         }
-        wait_for_signal(n);
+        n.signals.start([&n](int number) { on_signal(n, number); });
         n.io.poll(); // handles the signals that came before
         if (!n.state.leaving)
             start_when_listening(n);
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -7,8 +7,8 @@
 #include "runtime/http_server.hpp"
 #include "runtime/peer_links.hpp"
 #include "runtime/settings.hpp"
+#include "runtime/signals.hpp"
 
-#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <deque>
 #include <fstream>
@@ -82,7 +82,7 @@
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> admin;
     std::unique_ptr<peer_links> links;
-    asio::signal_set signals;
+    signal_reader signals;
     asio::steady_timer tick_timer;
     std::deque<core::event> events; // queued while another one is handled
     bool handling = false;
--- a/src/runtime/signals.hpp
+++ b/src/runtime/signals.hpp
@@ -1,9 +1,13 @@
-// Signals that a node handles. They are blocked, and so stay pending, while
-// there is nobody to handle them: before the event loop and after it.
+// Signals that a node handles. They are blocked for the whole life of a
+// process, and so stay pending until its event loop reads them.
 #pragma once
 
 #include <array>
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/steady_timer.hpp>
 #include <csignal>
+#include <functional>
 
 namespace papayahook::runtime {
 
@@ -12,8 +16,28 @@
 
 // Of the calling thread and the threads that it starts.
 void block_signals() noexcept;
-void unblock_signals() noexcept;
-// SIGTERM or SIGINT came while they were blocked.
+// SIGTERM or SIGINT came and has not been read.
 bool is_stop_pending() noexcept;
 
+// Reads blocked signals on an event loop. Signals of one kind that come within
+// a short pause count as one; none is lost without one of its kind being read.
+class signal_reader
+{
+public:
+    using handler = std::function<void(int number)>;
+
+    // Throws std::system_error if no descriptor is left.
+    explicit signal_reader(asio::io_context& io);
+    // Calls `on_signal` for each signal read; what it throws is logged.
+    void start(handler on_signal);
+
+private:
+    void wait();
+    void read();
+
+    asio::posix::stream_descriptor signals_;
+    asio::steady_timer pause_;
+    handler on_signal_;
+};
+
 } // namespace papayahook::runtime
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -7,10 +7,12 @@
 #include "support/platform_fake.hpp"
 #include "support/platform_nodes.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fcntl.h>
@@ -288,13 +290,39 @@
     it.start();
     REQUIRE(eventually(10s, [&] { return it.has_logged("event=101"); }));
     it.n.run->signal(SIGTERM);
+    auto const until = std::chrono::steady_clock::now() + 10s;
     std::size_t sent = 0;
-    while (it.n.run->runs())
+    while (it.n.run->runs() && std::chrono::steady_clock::now() < until)
         it.n.run->signal(
             signals_of_operators.at(sent++ % signals_of_operators.size()));
     CHECK(it.n.run->wait(0ms) == 0);
 }
 
+TEST_CASE("requests are answered while signals come without a pause")
+{
+    small_platform p;
+    std::this_thread::sleep_for(2s); // until the records are read
+    auto& node = p.nodes[0];
+    std::atomic<bool> ended = false;
+    std::thread sender([&] {
+        for (std::size_t sent = 0; !ended; ++sent)
+            node.run->signal(sent % 2 == 0 ? SIGUSR1 : SIGHUP);
+    });
+    std::vector<call_plan> plans;
+    for (int n = 0; n < 20; ++n) {
+        auto it = request(node, "/p/x", "id-" + std::to_string(n));
+        it.start = n * 50ms;
+        plans.push_back(it);
+    }
+    auto const answers = run_calls(plans);
+    ended = true;
+    sender.join();
+    CHECK(std::ranges::all_of(answers, [](auto const& it) {
+        return !it.broken && it.status == 200;
+    }));
+    CHECK(read_file(node.log).size() < 1'000'000); // lines are bounded
+}
+
 TEST_CASE("metrics are read while a node waits for the address of its links")
 {
     platform_fake fake;
