Tidy: one refusal of unread connections, one encoder of documents

Callers beyond the connection limit and senders beyond the limit of arriving bytes were refused by two copies of the same code. runtime/refused_connection does both; the second now also closes its sending side after the answer. Tests: endpoint_of() and the slow runner's set-up stood two and three times.

No change of behaviour but the closed sending side.

--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -559,9 +559,14 @@
 
 } // namespace
 
+std::string document_text(json const& it, int indent)
+{
+    return it.dump(indent, ' ', false, json::error_handler_t::replace);
+}
+
 std::string event_to_line(core::event const& it)
 {
-    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
+    return document_text(json(it));
 }
 
 core::event event_from_line(std::string const& line)
@@ -572,7 +577,7 @@
 
 std::string effect_to_line(core::effect const& it)
 {
-    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
+    return document_text(json(it));
 }
 
 // Compresses only large messages. A configuration of 1,800 routes takes 450 KB
@@ -666,7 +671,7 @@
 std::string append_to_json(core::append const& it)
 {
     json out{{"id", it.id}, {"records", it.records}};
-    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+    return document_text(out);
 }
 
 core::log_read read_from_json(std::string const& stream,
@@ -700,7 +705,7 @@
 
 std::string duty_to_json(core::duty_record const& it)
 {
-    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
+    return document_text(json(it));
 }
 
 core::duty_record duty_from_json(std::string const& text)
@@ -714,7 +719,7 @@
 
 std::string settings_to_line(core::node_settings const& it)
 {
-    return json(it).dump(-1, ' ', false, json::error_handler_t::replace);
+    return document_text(json(it));
 }
 
 core::node_settings settings_from_line(std::string const& line)
@@ -726,7 +731,7 @@
 
 std::string config_to_json(core::configuration const& it)
 {
-    return config_json(it).dump(2, ' ', false, json::error_handler_t::replace);
+    return document_text(config_json(it), 2);
 }
 
 std::string state_to_json(core::node_state const& s)
@@ -770,7 +775,7 @@
                    {"shared_bytes", s.claim_log.shared_bytes},
                    {"batch", s.claim_log.batch.size()}};
     out["appends_open"] = s.appends.size();
-    return out.dump(2, ' ', false, json::error_handler_t::replace);
+    return document_text(out, 2);
 }
 
 std::string sha256(std::string const& text)
--- a/src/codec/json.hpp
+++ b/src/codec/json.hpp
@@ -8,6 +8,10 @@
 
 namespace papayahook::codec {
 
+// Text of a document, with replacement characters for bytes that are not UTF-8.
+// Without `indent` it is one line.
+std::string document_text(nlohmann::json const& it, int indent = -1);
+
 // The *_to_line() functions write one line of JSON. The parsing functions of
 // this header throw std::invalid_argument with the cause of the error; they
 // ignore unknown fields, and missing fields that are not required keep their
--- a/src/runtime/admin.cpp
+++ b/src/runtime/admin.cpp
@@ -61,7 +61,7 @@
             out.push_back({{"at_us", it.at.time_since_epoch().count()},
                            {"rule", it.rule},
                            {"detail", it.detail}});
-    return out.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
+    return codec::document_text(out, 2);
 }
 
 } // namespace
--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -3,71 +3,13 @@
 #include "runtime/logging.hpp"
 
 #include <algorithm>
-#include <array>
-#include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
-#include <string_view>
+#include <tuple>
+#include <utility>
 
 namespace papayahook::runtime {
 
 namespace {
 
-using namespace std::chrono_literals;
-
-// A connection that is closed with unread bytes is reset, which may destroy the
-// answer on its way, so the caller gets this time to read it and to close.
-constexpr auto refusal_time = 1'000ms;
-constexpr std::string_view refusal =
-    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-    "Connection: close\r\nContent-Type: text/plain\r\n"
-    "Content-Length: 27\r\n\r\ntoo many requests arriving\n";
-
-struct refused_sender
-{
-    explicit refused_sender(asio::ip::tcp::socket it)
-        : socket(std::move(it)), timer(socket.get_executor())
-    {
-    }
-
-    asio::ip::tcp::socket socket;
-    asio::steady_timer timer;
-    std::array<char, 8 * 1024> unread{};
-};
-using refused_sender_ptr = std::shared_ptr<refused_sender>;
-
-void close(refused_sender& it)
-{
-    std::error_code ec; // ignored: the connection is given up anyway
-    it.timer.cancel(ec);
-    it.socket.close(ec);
-}
-
-void discard_input(refused_sender_ptr const& it)
-{
-    it->socket.async_read_some(asio::buffer(it->unread), [it](auto ec, auto) {
-        if (ec)
-            close(*it);
-        else
-            discard_input(it);
-    });
-}
-
-} // namespace
-
-void refuse_rest(asio::ip::tcp::socket socket)
-{
-    auto const it = std::make_shared<refused_sender>(std::move(socket));
-    it->timer.expires_after(refusal_time);
-    it->timer.async_wait([it](auto) { close(*it); });
-    asio::async_write(it->socket, asio::buffer(refusal), [it](auto ec, auto) {
-        if (ec)
-            close(*it);
-    });
-    discard_input(it);
-}
-
-namespace {
-
 struct arriving_service : asio::execution_context::service
 {
     using key_type = arriving_service;
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -2,6 +2,8 @@
 // request on each connection before anything can refuse it.
 #pragma once
 
+#include "runtime/refused_connection.hpp"
+
 #include <asio/bind_cancellation_slot.hpp>
 #include <asio/bind_executor.hpp>
 #include <asio/cancellation_signal.hpp>
@@ -62,9 +64,6 @@
     std::size_t bytes_ = 0;
 };
 
-// Answers 503 to a request that is still arriving, and closes.
-void refuse_rest(asio::ip::tcp::socket socket);
-
 // A socket whose reads are counted.
 class counted_socket : public asio::ip::tcp::socket
 {
@@ -90,7 +89,8 @@
             if (r->given_up) {
                 ec = asio::error::no_buffer_space;
                 if (r->open_request.expired())
-                    refuse_rest(std::move(*this));
+                    refuse_connection(std::move(*this),
+                                      "too many requests arriving\n");
             }
             r->all->current = r.get();
             handler(ec, ec ? 0 : n);
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -191,7 +191,7 @@
     body["request_id"] = id;
     if (!resume.empty())
         body["resume_tokens"] = resume;
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return codec::document_text(body);
 }
 
 std::string token_event(answer_form form, core::request_id const& id,
@@ -208,8 +208,7 @@
         {"object", chat ? "chat.completion.chunk" : "text_completion"},
         {"token_index", index},
         {"choices", json::array({choice})}};
-    return "data: " + out.dump(-1, ' ', false, json::error_handler_t::replace) +
-           "\n\n";
+    return "data: " + codec::document_text(out) + "\n\n";
 }
 
 std::string end_event()
@@ -238,7 +237,7 @@
                    {"object", chat ? "chat.completion" : "text_completion"},
                    {"choices", json::array({choice})},
                    {"usage", {{"completion_tokens", tokens.size()}}}};
-    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+    return codec::document_text(out);
 }
 
 std::string problem_document(core::request_id const& id,
@@ -252,7 +251,7 @@
              {"step", core::to_string(why.failed_step)}};
     if (!why.peer.empty())
         out["peer"] = why.peer;
-    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+    return codec::document_text(out);
 }
 
 header_list problem_headers(core::request_id const& id,
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -4,10 +4,9 @@
 #include "runtime/accept_loop.hpp"
 #include "runtime/arriving_requests.hpp"
 #include "runtime/guard.hpp"
+#include "runtime/refused_connection.hpp"
 
 #include <algorithm>
-#include <asio/steady_timer.hpp>
-#include <asio/write.hpp>
 #include <cctype>
 #include <list>
 #include <optional>
@@ -17,7 +16,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
 using asio::ip::tcp;
 
 // With two pipelined requests RESTinio continues to read while an answer is
@@ -285,66 +283,6 @@
     return {};
 }
 
-namespace {
-
-// A connection that is closed with unread bytes is reset, which may destroy the
-// answer on its way, so a refused caller gets this time to read it and to
-// close.
-constexpr auto refusal_time = 1'000ms;
-// Beyond this share of the connections, the oldest refused caller is closed.
-constexpr std::size_t connections_per_refusal = 8;
-constexpr std::string_view refusal =
-    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-    "Connection: close\r\nContent-Type: text/plain\r\n"
-    "Content-Length: 21\r\n\r\ntoo many connections\n";
-
-struct refused_caller
-{
-    explicit refused_caller(tcp::socket it)
-        : socket(std::move(it)), timer(socket.get_executor())
-    {
-    }
-
-    tcp::socket socket;
-    asio::steady_timer timer;
-    std::array<char, 1024> unread{};
-};
-using refused_caller_ptr = std::shared_ptr<refused_caller>;
-
-void close(refused_caller& it)
-{
-    std::error_code ec; // ignored: the connection is given up anyway
-    it.timer.cancel();
-    it.socket.close(ec);
-}
-
-void discard_input(refused_caller_ptr const& it)
-{
-    it->socket.async_read_some(asio::buffer(it->unread), [it](auto ec, auto) {
-        if (ec)
-            close(*it);
-        else
-            discard_input(it);
-    });
-}
-
-void refuse(refused_caller_ptr const& it)
-{
-    it->timer.expires_after(refusal_time);
-    it->timer.async_wait([it](auto ec) {
-        if (!ec)
-            close(*it);
-    });
-    asio::async_write(it->socket, asio::buffer(refusal), [it](auto ec, auto) {
-        std::error_code ignored; // the connection ends anyway
-        if (!ec)
-            it->socket.shutdown(tcp::socket::shutdown_send, ignored);
-    });
-    discard_input(it);
-}
-
-} // namespace
-
 struct http_server::impl
 {
     void on_accepted(tcp::socket socket);
@@ -354,7 +292,7 @@
     std::shared_ptr<state_listener> listener =
         std::make_shared<state_listener>();
     std::unique_ptr<connection_factory> factory;
-    std::list<std::weak_ptr<refused_caller>> refused; // oldest first
+    std::list<std::weak_ptr<refused_connection>> refused; // oldest first
     std::optional<accept_loop> acceptor;
 };
 
@@ -378,12 +316,11 @@
     std::erase_if(refused, [](auto const& it) { return it.expired(); });
     if (refused.size() > max_connections / connections_per_refusal) {
         if (auto const oldest = refused.front().lock())
-            close(*oldest);
+            oldest->close();
         refused.pop_front();
     }
-    auto const it = std::make_shared<refused_caller>(std::move(socket));
-    refused.push_back(it);
-    refuse(it);
+    refused.push_back(
+        refuse_connection(std::move(socket), "too many connections\n"));
 }
 
 http_server::http_server(asio::io_context& io,
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -67,6 +67,9 @@
 
 using responder_ptr = std::shared_ptr<http_responder>;
 
+// Beyond max_connections divided by this, the oldest refused one is closed.
+inline constexpr std::size_t connections_per_refusal = 8;
+
 struct http_server_options
 {
     std::string address = "127.0.0.1";
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -1,6 +1,7 @@
 #include "runtime/settings.hpp"
 
 #include "codec/toml_reader.hpp"
+#include "runtime/http_server.hpp"
 
 #include <algorithm>
 #include <array>
@@ -198,8 +199,6 @@
 // A caller keeps its connection while its request waits for an endpoint and
 // between requests, so more callers than calls are connected.
 constexpr std::size_t endpoint_percentage = 40;
-// The server adds one refused caller to so many connections.
-constexpr std::size_t callers_per_refusal = 8;
 
 std::size_t descriptors_at_start()
 {
@@ -218,9 +217,9 @@
     auto const rest = all - files - reserve;
     connection_limits out;
     out.endpoints = rest * endpoint_percentage / 100;
-    out.callers = std::min(it.max_connections, (rest - out.endpoints) *
-                                                   callers_per_refusal /
-                                                   (callers_per_refusal + 1));
+    out.callers = std::min(it.max_connections,
+                           (rest - out.endpoints) * connections_per_refusal /
+                               (connections_per_refusal + 1));
     out.peers = reserve * peer_percentage / 100;
     out.probes = std::max(min_probes, reserve * probe_percentage / 100);
     return out;
--- a/test/accept_test.cpp
+++ b/test/accept_test.cpp
@@ -31,12 +31,6 @@
 // Of a core, while descriptors are short.
 constexpr double max_processor_share = 0.5;
 
-tcp::endpoint endpoint_of(std::string const& address)
-{
-    auto const at = runtime::parse_address(address);
-    return {asio::ip::make_address(at->ip), at->port};
-}
-
 tcp::socket connected(asio::io_context& io, std::string const& address)
 {
     tcp::socket out(io);
--- a/test/exceptions_test.cpp
+++ b/test/exceptions_test.cpp
@@ -490,11 +490,10 @@
 // Sends bytes to a port and closes the connection.
 void send_bytes(std::string const& address, std::string const& bytes)
 {
-    auto const at = runtime::parse_address(address);
     asio::io_context io;
     asio::ip::tcp::socket s(io);
     asio::error_code ignored; // the other side may refuse the bytes
-    s.connect({asio::ip::make_address(at->ip), at->port}, ignored);
+    s.connect(endpoint_of(address), ignored);
     asio::write(s, asio::buffer(bytes), ignored);
 }
 
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -1,7 +1,6 @@
 // Tests of the life of a process, from its start to its end, against signals
 // and against what it finds on its machine.
 #include "platform/wire.hpp"
-#include "runtime/settings.hpp"
 #include "support/client.hpp"
 #include "support/fleet.hpp"
 #include "support/platform_fake.hpp"
@@ -44,6 +43,21 @@
     }
 }
 
+// All routes of the platform lead to a runner that takes its time.
+void use_slow_runner(small_platform& p)
+{
+    p.fake.add_runner({"i-2", "slow", "v1", false, 900ms, 300ms});
+    p.fake.put(platform::wire::operator_topic,
+               platform::wire::configuration_key, R"({"routes":[
+{"name":"p","host":"h","path_prefix":"/p/","route_type":"non_idempotent",
+ "timeout_ms":30000,"service":"slow","attempts":1},
+{"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
+ "timeout_ms":30000,"service":"slow","attempts":1}],
+"services":[{"name":"slow"}],
+"tenants":[{"name":"acme","api_keys":["k1"]}]})");
+    std::this_thread::sleep_for(2s); // until the records are read
+}
+
 std::string const whole_stream =
     "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 
@@ -66,16 +80,7 @@
                         {600ms, SIGTERM}});
     constexpr auto first_signal = 1'000ms;
     small_platform p;
-    p.fake.add_runner({"i-2", "slow", "v1", false, 900ms, 300ms});
-    p.fake.put(platform::wire::operator_topic,
-               platform::wire::configuration_key, R"({"routes":[
-{"name":"p","host":"h","path_prefix":"/p/","route_type":"non_idempotent",
- "timeout_ms":30000,"service":"slow","attempts":1},
-{"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
- "timeout_ms":30000,"service":"slow","attempts":1}],
-"services":[{"name":"slow"}],
-"tenants":[{"name":"acme","api_keys":["k1"]}]})");
-    std::this_thread::sleep_for(2s); // until the records are read
+    use_slow_runner(p);
     auto& node = p.nodes[0];
     std::vector<call_plan> plans;
     for (int n = 0; n < 48; ++n) {
@@ -466,8 +471,7 @@
 {
     asio::io_context io;
     asio::ip::tcp::socket it(io);
-    auto const at = runtime::parse_address(n.front);
-    it.connect({asio::ip::make_address(at->ip), at->port});
+    it.connect(endpoint_of(n.front));
     std::string requests;
     for (auto const* const id : {"one", "two"})
         requests += "GET " + path +
@@ -488,16 +492,7 @@
 {
     auto const path = GENERATE(std::string("/p/x"), std::string("/s/x"));
     small_platform p;
-    p.fake.add_runner({"i-2", "slow", "v1", false, 900ms, 300ms});
-    p.fake.put(platform::wire::operator_topic,
-               platform::wire::configuration_key, R"({"routes":[
-{"name":"p","host":"h","path_prefix":"/p/","route_type":"non_idempotent",
- "timeout_ms":30000,"service":"slow","attempts":1},
-{"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
- "timeout_ms":30000,"service":"slow","attempts":1}],
-"services":[{"name":"slow"}],
-"tenants":[{"name":"acme","api_keys":["k1"]}]})");
-    std::this_thread::sleep_for(2s); // until the records are read
+    use_slow_runner(p);
     auto& node = p.nodes[0];
     std::thread stopper([&] {
         std::this_thread::sleep_for(300ms);
--- a/test/support/client.cpp
+++ b/test/support/client.cpp
@@ -1,5 +1,7 @@
 #include "support/client.hpp"
 
+#include "runtime/settings.hpp"
+
 #include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
@@ -162,6 +164,12 @@
     return run_call(plan);
 }
 
+asio::ip::tcp::endpoint endpoint_of(std::string const& address)
+{
+    auto const at = runtime::parse_address(address);
+    return {asio::ip::make_address(at->ip), at->port};
+}
+
 void post(std::string const& address, std::string const& path,
           std::string const& body)
 {
--- a/test/support/client.hpp
+++ b/test/support/client.hpp
@@ -3,6 +3,7 @@
 
 #include "runtime/http_client.hpp"
 
+#include <asio/ip/tcp.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,6 +57,9 @@
 call_outcome fetch_rest(std::string const& address, std::string const& key,
                         std::string const& id, int from);
 
+// Of "ip:port".
+asio::ip::tcp::endpoint endpoint_of(std::string const& address);
+
 // POSTs a JSON document, e.g. to the fault port of a fake. Throws
 // std::runtime_error if the status is not 200.
 void post(std::string const& address, std::string const& path,
