Tidy: names of effects, starting a call, announcing a close stood twice

node.cpp kept its own list of the names of effects beside those of codec/json; codec::effect_name() gives them now. start_call() holds the "record first, then start" of both interfaces. A request without an id announced the close by a copy of announce_close(). listener_options() sets the counter of unwritten bytes, which both of its callers added.

No change of behaviour.

--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -580,6 +580,16 @@
     return document_text(json(it));
 }
 
+std::string_view effect_name(core::effect const& it)
+{
+    return std::visit(
+        []<class T>(T const&) -> std::string_view {
+            static_assert(core::type_name<T> != nullptr);
+            return core::type_name<T>;
+        },
+        it);
+}
+
 // Compresses only large messages. A configuration of 1,800 routes takes 450 KB
 // and is sent to each node of a hub's subtree; deflate reduces it to a tenth.
 constexpr std::size_t min_bytes_to_deflate = 16 * 1024;
--- a/src/codec/json.hpp
+++ b/src/codec/json.hpp
@@ -4,6 +4,8 @@
 #include "papayahook/papayahook.hpp"
 
 #include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
 #include <system_error>
 
 namespace papayahook::codec {
@@ -19,6 +21,7 @@
 std::string event_to_line(core::event const& it);
 core::event event_from_line(std::string const& line);
 std::string effect_to_line(core::effect const& it);
+std::string_view effect_name(core::effect const& it);
 
 std::string message_to_cbor(core::peer_message const& it);
 core::peer_message message_from_cbor(std::string const& bytes);
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -208,15 +208,7 @@
     open_call c;
     c.model = model;
     c.next_index = it.resume_chunks.size();
-    // Registered first: once it is started, it may have run.
-    auto const added = n.calls.emplace(id, std::move(c)).first;
-    try {
-        added->second.transfer = n.client.start(std::move(call));
-    }
-    catch (...) {
-        n.calls.erase(added);
-        throw;
-    }
+    start_call(n.client, n.calls, id, std::move(c), std::move(call));
 }
 
 void perform(node& n, core::cancel_call const& it)
--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -92,7 +92,8 @@
     void on_request(node& n, http_request in, responder_ptr out);
     void on_readiness(node& n, responder_ptr const& out);
     void on_caller_closed(node& n, std::uint64_t connection);
-    void announce_close(node& n, core::request_id const& id, open_caller& c);
+    void announce_close(node& n, core::request_id const& id,
+                        std::uint64_t connection, http_responder& out);
     std::optional<open_caller> take_caller(core::request_id const& id);
     void flush(node& n, core::request_id const& id);
     void post_flush(node& n, core::request_id const& id, open_caller& c);
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -19,7 +19,6 @@
                    address const& metrics)
 {
     auto options = listener_options(n);
-    options.unwritten = n.unwritten;
     auto const open = [&](auto& out, char const* name, address const& at,
                           auto handler) {
         options.address = at.ip;
@@ -57,9 +56,7 @@
         return; // it crossed the close, and its answer could not be sent
     connection.newest = id;
     if (sent_id.empty()) {
-        connection.closes = n.state.leaving;
-        if (connection.closes)
-            out->close_after_answer();
+        announce_close(n, id, in.connection_id, *out);
         out->send(400, {}, "the request has no id\n");
         return;
     }
@@ -90,13 +87,13 @@
 // The HTTP server closes the connection after the answer that announces it, and
 // drops the answers to later requests.
 void gateway::announce_close(node& n, core::request_id const& id,
-                             open_caller& c)
+                             std::uint64_t connection, http_responder& out)
 {
-    auto const it = connections_.find(c.request.connection_id);
+    auto const it = connections_.find(connection);
     if (!n.state.leaving || it == connections_.end() || it->second.newest != id)
         return;
     it->second.closes = true;
-    c.out->close_after_answer();
+    out.close_after_answer();
 }
 
 std::optional<open_caller> gateway::take_caller(core::request_id const& id)
@@ -116,7 +113,7 @@
     if (!c)
         return;
     auto answer = codec_.refusal_answer(c->request_id, it.why);
-    announce_close(n, it.id, *c);
+    announce_close(n, it.id, c->request.connection_id, *c->out);
     c->out->send(answer.status, answer.headers, std::move(answer.body));
 }
 
@@ -159,7 +156,7 @@
     c.flush_posted = false;
     if (!c.started) {
         c.started = true;
-        announce_close(n, id, c);
+        announce_close(n, id, c.request.connection_id, *c.out);
         c.out->start(c.status, c.headers);
     }
     if (c.pending.empty())
@@ -184,7 +181,7 @@
         c->out->finish();
         return;
     }
-    announce_close(n, it.id, *c);
+    announce_close(n, it.id, c->request.connection_id, *c->out);
     c->out->send(c->status, c->headers, std::move(c->pending));
 }
 
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -98,15 +98,7 @@
     call.on_done = [this, &n, id](http_result const& result) {
         on_call_done(n, id, result);
     };
-    // Registered first: once it is started, it may have run.
-    auto const added = calls_.emplace(id, std::move(r)).first;
-    try {
-        added->second.transfer = n.client.start(std::move(call));
-    }
-    catch (...) {
-        calls_.erase(added);
-        throw;
-    }
+    start_call(n.client, calls_, id, std::move(r), std::move(call));
 }
 
 void gateway::carry_out(node& n, core::cancel_call const& it)
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -519,8 +519,8 @@
             finish(c);
         else if (c->complete)
             close(*c);
-        // Otherwise an answer may still be readable; the
-        // read reports the end of the connection.
+        // Otherwise an answer may still be readable; the read reports the end
+        // of the connection.
     });
     read_more(c);
 }
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -6,7 +6,6 @@
 #include "runtime/logging.hpp"
 
 #include <algorithm>
-#include <array>
 #include <asio/post.hpp>
 #include <cerrno>
 #include <iostream>
@@ -231,7 +230,6 @@
 void open_builtin_interfaces(node& n)
 {
     auto options = listener_options(n);
-    options.unwritten = n.unwritten;
     options.address = n.options.admin.ip;
     options.port = n.options.admin.port;
     if (!n.admin)
@@ -320,6 +318,7 @@
     out.max_header_bytes = it.max_header_bytes;
     out.max_header_count = it.max_header_count;
     out.max_connections = n.limits.probes;
+    out.unwritten = n.unwritten;
     out.idle_timeout = it.idle_timeout;
     out.write_timeout = it.write_timeout;
     return out;
@@ -330,7 +329,6 @@
     auto out = listener_options(n);
     out.max_connections = n.limits.callers;
     out.open_connections = n.open_callers;
-    out.unwritten = n.unwritten;
     return out;
 }
 
@@ -368,24 +366,6 @@
 
 constexpr int core_failed_status = 3;
 
-std::string effect_name(core::effect const& it)
-{
-    constexpr std::array names{"refuse",           "dispatch",
-                               "cancel_call",      "pause_call",
-                               "resume_call",      "send_head",
-                               "send_chunk",       "finish_answer",
-                               "fail_answer",      "relay",
-                               "append",           "send_peer",
-                               "close_peer",       "dial_peer",
-                               "follow_store",     "append_duty",
-                               "report_usage",     "order_endpoints",
-                               "report_pool_move", "check_endpoint",
-                               "log_event",        "wake",
-                               "exit_process"};
-    static_assert(names.size() == std::variant_size_v<core::effect>);
-    return names.at(it.index());
-}
-
 // An effect that throws must not take the other effects of its event with it.
 void carry_out(node& n, core::effect const& effect)
 {
@@ -396,7 +376,7 @@
     }
     catch (...) {
         why = describe_exception();
-        log_exception(effect_name(effect));
+        log_exception(codec::effect_name(effect));
     }
     run_guarded("failed effect", [&] { report_failed_effect(n, effect, why); });
 }
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -145,6 +145,22 @@
         effect);
 }
 
+// Starts a call of an endpoint and keeps its record, which has the member
+// `transfer`. It is kept first: once the call is started, it may have run.
+template <class Record>
+void start_call(http_client& client, std::map<core::call_id, Record>& calls,
+                core::call_id id, Record record, http_call call)
+{
+    auto const added = calls.emplace(id, std::move(record)).first;
+    try {
+        added->second.transfer = client.start(std::move(call));
+    }
+    catch (...) {
+        calls.erase(added);
+        throw;
+    }
+}
+
 // failed_effects.cpp
 void report_failed_effect(node& n, core::effect const& effect,
                           std::string const& why);
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -180,10 +180,6 @@
     it.finish();
 }
 
-} // namespace
-
-namespace {
-
 // For files, timers, the event loop and the log. The platform keeps as many for
 // files.
 constexpr std::size_t max_file_descriptors = 200;
