--- a/test/accept_test.cpp
+++ b/test/accept_test.cpp
@@ -88,19 +88,9 @@
     {
         fake.put(wire::operator_topic, wire::configuration_key, configuration);
         fake.add_runner({"i-1", "app"});
-        auto const folder = make_folder("accept");
         auto const ports = free_port();
-        auto const local = [](int port) {
-            return "127.0.0.1:" + std::to_string(port);
-        };
-        node.name = "n1";
-        node.front = local(free_port());
-        node.readiness = local(free_port());
-        node.metrics = local(ports + 14);
-        node.settings = folder + "/settings";
-        node.log = folder + "/log";
-        peer_address = local(ports);
-        write_settings(node, fake, ports);
+        peer_address = "127.0.0.1:" + std::to_string(ports);
+        node = settings_of_node("n1", fake, ports);
         auto const fds = std::to_string(few_descriptors);
         std::ofstream(node.settings, std::ios::app)
             << "limits.max_fds=" << fds << '\n';
--- a/test/output_test.cpp
+++ b/test/output_test.cpp
@@ -139,6 +139,12 @@
     fleet f;
 };
 
+bool reports_dropped_lines(reader& it)
+{
+    return eventually(
+        20s, [&] { return it.read().find("event=104") != std::string::npos; });
+}
+
 } // namespace
 
 TEST_CASE("a reader of standard output that goes away ends no node")
@@ -151,8 +157,7 @@
     r.leave();
     check_node(n);
     r.open();
-    CHECK(eventually(
-        20s, [&] { return r.read().find("event=104") != std::string::npos; }));
+    CHECK(reports_dropped_lines(r));
 }
 
 TEST_CASE("a reader of standard output that never reads blocks no node")
@@ -163,8 +168,7 @@
     reader r(path);
     restart(n, path);
     check_node(n);
-    CHECK(eventually(
-        20s, [&] { return r.read().find("event=104") != std::string::npos; }));
+    CHECK(reports_dropped_lines(r));
 }
 
 TEST_CASE("a full disk below standard output stops no node")
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -36,15 +36,7 @@
                  platform::wire::configuration_key, orders);
         for (auto const* const name : {"i-1", "i-2", "i-3"})
             fake.add_runner({name, "app", "v1", false, run_time});
-        auto const ports = free_port();
-        auto const folder = make_folder("request-memory");
-        node.name = "n1";
-        node.front = "127.0.0.1:" + std::to_string(free_port());
-        node.readiness = "127.0.0.1:" + std::to_string(free_port());
-        node.metrics = "127.0.0.1:" + std::to_string(ports + 14);
-        node.settings = folder + "/settings";
-        node.log = folder + "/log";
-        write_settings(node, fake, ports);
+        node = settings_of_node("n1", fake, free_port());
         std::ofstream(node.settings, std::ios::app)
             << "limits.memory_mb=" << memory_mb << '\n';
         start(node);
@@ -69,6 +61,25 @@
     return out;
 }
 
+struct order_counts
+{
+    std::ptrdiff_t ran = 0; // as the runners saw it
+    std::ptrdiff_t answered = 0;
+    std::ptrdiff_t refused = 0;
+};
+
+order_counts count_orders(order_platform& p,
+                          std::vector<support::call_outcome> const& answers)
+{
+    order_counts out;
+    for (auto const& [version, n] : p.fake.run_counts())
+        out.ran += n;
+    auto const status = &support::call_outcome::status;
+    out.answered = std::ranges::count(answers, 200, status);
+    out.refused = std::ranges::count(answers, 503, status);
+    return out;
+}
+
 std::vector<call_plan> orders_of(order_platform const& p, int users,
                                  std::size_t bytes)
 {
@@ -176,18 +187,12 @@
         plans.back().start = n * 300ms;
     }
     auto const answers = support::run_calls(plans);
-    auto const with_status = [&](int status) {
-        return std::ranges::count(answers, status,
-                                  &support::call_outcome::status);
-    };
-    int ran = 0;
-    for (auto const& [version, n] : p.fake.run_counts())
-        ran += n;
-    CAPTURE(p.peak() / megabyte, ran, with_status(200), with_status(503));
+    auto const n = count_orders(p, answers);
+    CAPTURE(p.peak() / megabyte, n.ran, n.answered, n.refused);
     CHECK(p.node.run->runs());
     CHECK(p.peak() < 160 * megabyte);
-    CHECK(with_status(200) == ran);
-    CHECK(with_status(200) + with_status(503) == users + 10);
+    CHECK(n.answered == n.ran);
+    CHECK(n.answered + n.refused == users + 10);
     CHECK(std::all_of(answers.begin() + users, answers.end(),
                       [](auto const& it) { return it.status == 200; }));
     CHECK(support::gauge_of(p.node, "papayahook_request_bytes") == 0);
@@ -200,19 +205,13 @@
     constexpr int users = 27;
     order_platform p(260, 2s);
     auto const answers = support::run_calls(orders_of(p, users, long_body));
-    auto const with_status = [&](int status) {
-        return std::ranges::count(answers, status,
-                                  &support::call_outcome::status);
-    };
-    int ran = 0;
-    for (auto const& [version, n] : p.fake.run_counts())
-        ran += n;
-    CAPTURE(p.peak() / megabyte, ran, with_status(200), with_status(503));
+    auto const n = count_orders(p, answers);
+    CAPTURE(p.peak() / megabyte, n.ran, n.answered, n.refused);
     CHECK(p.node.run->runs());
     CHECK(p.peak() < 260 * megabyte);
-    CHECK(with_status(200) == ran);
-    CHECK(with_status(200) + with_status(503) == users);
-    CHECK(with_status(200) > 0);
+    CHECK(n.answered == n.ran);
+    CHECK(n.answered + n.refused == users);
+    CHECK(n.answered > 0);
 }
 
 TEST_CASE("requests whose last byte is held back do not end a node")
