--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -304,18 +304,18 @@
     if (it.status >= 0)
         return;
     auto const now = clock::now();
+    bool const handled = handles(it.pid, number);
+    auto const ran = run_time(it.pid);
     note(w, "SIG", ::sigabbrev_np(number), " to ", it.name, ", ",
          at(w, now) - at(w, it.started), " s old",
-         handles(it.pid, number)
-             ? ""
-             : text(", no handler, ran ", run_time(it.pid).count(), " ns"));
+         handled ? "" : text(", no handler, ran ", ran.count(), " ns"));
     if (number == SIGTERM || number == SIGINT)
         it.stopped = std::min(it.stopped, now);
     if (number == SIGKILL) {
         it.killed = true;
         n.disruptions.emplace_back(now, now);
     }
-    if (!handles(it.pid, number) && run_time(it.pid) < before_main)
+    if (!handled && ran < before_main)
         it.before_main.insert(number);
     ::kill(it.pid, number);
 }
