Evacuation of a zone: its endpoints get no new work

The operator's records evacuate/ZONE were not read, so that requests went on to the endpoints of a zone that was about to be taken away. The core now keeps the newest record of each zone, spreads it like endpoint entries (news, the digests that new peers compare, what a peer is sent on a new link), and counts the endpoints of an evacuated zone as taking no new work in the one function that routing, limits, moves and the fleet plan ask. Requests that only such endpoints could serve are refused as not run. The fleet plan orders nothing there and makes up for the zone in the others.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -274,6 +274,16 @@
     endpoint value;        // not set in an entry that was removed
 };
 
+// Whether an availability zone is evacuated. For each zone the entry with the
+// highest offset is in force.
+struct zone_evacuation
+{
+    offset at = 0;
+    std::string zone;
+    bool active = false;
+    bool operator==(zone_evacuation const&) const = default;
+};
+
 // Requests of each organisation that began to run, by (window, organisation).
 // The number of a window is the wall-clock time since the epoch divided by
 // node_settings::usage_window.
@@ -400,7 +410,8 @@
 struct news_digests
 {
     std::uint64_t members = 0;
-    std::uint64_t endpoints = 0; // their entries, and which are leaving
+    // Their entries, which are leaving, and the zones evacuated.
+    std::uint64_t endpoints = 0;
 };
 
 // `demand`, `spent`, `work`, `calls` and `usage` are aggregates over `nodes`
@@ -521,6 +532,7 @@
     std::vector<successor_news> successors;
     std::vector<endpoint_entry> endpoints;
     std::vector<part_news> parts;
+    std::vector<zone_evacuation> evacuations;
 };
 
 // A caller's request as the core sees it.
@@ -866,6 +878,15 @@
     std::optional<offset> complete_at;
 };
 
+// Evacuations as read from the registry.
+struct zones_evacuated
+{
+    std::vector<zone_evacuation> entries;
+    // Set: `entries` is all that the registry had at this offset; evacuations
+    // that are not in it have ended.
+    std::optional<offset> complete_at;
+};
+
 // Nodes named by the registry or the settings, whether or not they are up.
 struct nodes_listed
 {
@@ -950,10 +971,11 @@
                  answer_head, answer_chunk, answer_end, call_failed, log_read,
                  append_done, log_reachable, peer_opened, peer_received,
                  peer_closed, endpoint_report, instance_list, relay_ended,
-                 config_published, endpoints_listed, nodes_listed, dial_failed,
-                 duties_read, duty_append_done, usage_reported,
-                 endpoints_ordered, endpoint_checked, pool_move_ordered,
-                 pool_move_reported, settings_changed, shutdown_requested, tick>
+                 config_published, endpoints_listed, zones_evacuated,
+                 nodes_listed, dial_failed, duties_read, duty_append_done,
+                 usage_reported, endpoints_ordered, endpoint_checked,
+                 pool_move_ordered, pool_move_reported, settings_changed,
+                 shutdown_requested, tick>
         body;
 };
 
@@ -1213,6 +1235,12 @@
     time_point usable_until{}; // no longer listed, but in use until then
 };
 
+struct evacuation_state
+{
+    zone_evacuation entry; // newest entry of the registry
+    time_point since{};    // when this node learned that it began or ended
+};
+
 // An incarnation of an endpoint that ended under a prompt.
 struct part_end
 {
@@ -1551,6 +1579,7 @@
     configuration config;
     claim_log_state claim_log;
     std::map<std::string, endpoint_state> endpoints;
+    std::map<std::string, evacuation_state> evacuations; // by zone
     std::unordered_map<request_id, request_state> requests;
     std::unordered_map<call_id, request_id> calls;
     std::map<std::string, organisation_queues> queues; // by pool
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -81,9 +81,10 @@
 
 // PAPAYAHOOK_JSON(type, element...) defines to_json() and from_json() of a type
 // as NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT does. An element is a
-// member, whose key is its name, or a pair (member, "key"). Keys stand in
-// messages between nodes, in records of the log, in dumps and in recorded
-// sessions, so a renamed member keeps its key.
+// member, whose key is its name, a pair (member, "key"), or (member, "key",
+// sparse), which is left out while it holds its default. Keys stand in messages
+// between nodes, in records of the log, in dumps and in recorded sessions, so a
+// renamed member keeps its key.
 #define PAPAYAHOOK_JSON(type, ...)                                             \
     inline void to_json(nlohmann::json& j, type const& it)                     \
     {                                                                          \
@@ -100,13 +101,15 @@
     PAPAYAHOOK_JOIN(PAPAYAHOOK_WRITE_, PAPAYAHOOK_FORM(element))(element)
 #define PAPAYAHOOK_WRITE_MEMBER(member) j[#member] = it.member;
 #define PAPAYAHOOK_WRITE_PAIR(pair) PAPAYAHOOK_WRITE_KEY pair
-#define PAPAYAHOOK_WRITE_KEY(member, key) j[key] = it.member;
+#define PAPAYAHOOK_WRITE_KEY(member, key, ...)                                 \
+    __VA_OPT__(if (it.member != std::remove_cvref_t<decltype(it)>{}.member))   \
+    j[key] = it.member;
 #define PAPAYAHOOK_READ(element)                                               \
     PAPAYAHOOK_JOIN(PAPAYAHOOK_READ_, PAPAYAHOOK_FORM(element))(element)
 #define PAPAYAHOOK_READ_MEMBER(member)                                         \
     it.member = j.value(#member, defaults.member);
 #define PAPAYAHOOK_READ_PAIR(pair) PAPAYAHOOK_READ_KEY pair
-#define PAPAYAHOOK_READ_KEY(member, key)                                       \
+#define PAPAYAHOOK_READ_KEY(member, key, ...)                                  \
     it.member = j.value(key, defaults.member);
 // PAIR for an element in parentheses, else MEMBER.
 #define PAPAYAHOOK_FORM(element)                                               \
@@ -241,8 +244,9 @@
 PAPAYAHOOK_JSON(move_counts, move, node, incarnation, started, stage, from, to)
 PAPAYAHOOK_JSON(successor_news, node, incarnation, successor)
 PAPAYAHOOK_JSON(part_news, part, status, incarnation, independent, age, probes)
+PAPAYAHOOK_JSON(zone_evacuation, at, zone, active)
 PAPAYAHOOK_JSON(news, leaving, vetoes, members, counts, successors, endpoints,
-                parts)
+                parts, (evacuations, "evacuations", sparse))
 PAPAYAHOOK_JSON(pool_moves, moves)
 PAPAYAHOOK_JSON(config_request, from)
 
@@ -288,6 +292,7 @@
 PAPAYAHOOK_NAME(relay_ended)
 PAPAYAHOOK_NAME(config_published)
 PAPAYAHOOK_NAME(endpoints_listed)
+PAPAYAHOOK_NAME(zones_evacuated)
 PAPAYAHOOK_NAME(nodes_listed)
 PAPAYAHOOK_NAME(dial_failed)
 PAPAYAHOOK_NAME(duties_read)
@@ -412,6 +417,7 @@
 PAPAYAHOOK_JSON(relay_ended, id)
 PAPAYAHOOK_JSON(config_published, (snapshot, "what"))
 PAPAYAHOOK_JSON(endpoints_listed, entries, (complete_at, "whole_at"))
+PAPAYAHOOK_JSON(zones_evacuated, entries, complete_at)
 PAPAYAHOOK_JSON(nodes_listed, nodes)
 PAPAYAHOOK_JSON(dial_failed, node)
 PAPAYAHOOK_JSON(duties_read, end, entries)
@@ -777,6 +783,10 @@
     for (auto const& it : core::quarantined_parts(s))
         out["quarantined_parts"].push_back(it);
     out["leaving_endpoints"] = s.known_leaving;
+    for (auto const& [zone, it] : s.evacuations)
+        out["evacuations"][zone] = {{"at", it.entry.at},
+                                    {"active", it.entry.active},
+                                    {"since", it.since}};
     out["organisation_in_flight"] = s.in_flight;
     out["once"] = {{"applied", s.claim_log.applied},
                    {"caught_up", s.claim_log.caught_up},
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -315,6 +315,8 @@
     if (r.attempts == 0)
         s.queue_joined_at[pool_of(s, r)] = s.now;
     drain_pool(s, queues, out);
+    if (r.phase == request_phase::queued)
+        refuse_if_evacuated(s, r, out);
     if (r.phase == request_phase::queued)
         refuse_if_lost(s, r, time_until_unpaused(s, r), out);
 }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -68,6 +68,22 @@
     return out;
 }
 
+// Returns the zones in which endpoints are ordered: not the evacuated ones. If
+// no other zone has any, all other zones that the pool states costs for are.
+std::map<std::string, endpoint_counts> zones_to_plan(node_state const& s,
+                                                     pool const& p)
+{
+    auto out = count_endpoints(s, p);
+    auto const removed = std::erase_if(
+        out, [&](auto const& it) { return is_evacuated(s, it.first); });
+    if (removed == 0 || !out.empty() || !p.scaling)
+        return out;
+    for (auto const& [zone, cost] : p.scaling->zone_cost)
+        if (!is_evacuated(s, zone))
+            out[zone];
+    return out;
+}
+
 // Returns the number of endpoints that the calls and prompts of all nodes would
 // keep busy.
 double total_load(node_state const& s, std::string const& pool)
@@ -135,7 +151,7 @@
 
 void plan_pool(node_state& s, pool const& p, effects& out)
 {
-    auto const zones = count_endpoints(s, p);
+    auto const zones = zones_to_plan(s, p);
     if (zones.empty() || !p.scaling)
         return;
     auto const& limits = *p.scaling;
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -36,7 +36,12 @@
 void shed_queued_requests(node_state& s, effects& out);
 
 // routing.cpp: choice of an endpoint
+// Returns whether an endpoint gets no new work: it leaves, or its zone is
+// evacuated.
 bool is_leaving(node_state const& s, endpoint const& e);
+// Returns whether endpoints that may serve the request exist, but only in
+// evacuated zones.
+bool waits_for_evacuated_zone(node_state const& s, request_state const& r);
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version, bool in_share);
 // Returns the prefill time of a prompt token in microseconds, learned from
@@ -180,6 +185,17 @@
 void forget_endpoints(node_state& s);
 std::vector<endpoint_entry> all_endpoint_entries(node_state const& s);
 
+// evacuation.cpp: availability zones whose endpoints get no new work
+bool is_evacuated(node_state const& s, std::string const& zone);
+void on_zones_evacuated(node_state& s, zones_evacuated const& e, effects& out);
+// Applies entries and floods those that are new.
+void learn_evacuations(node_state& s, std::vector<zone_evacuation> const& e,
+                       effects& out);
+std::vector<zone_evacuation> all_evacuations(node_state const& s);
+// Refuses queued requests that only endpoints in evacuated zones may serve.
+void refuse_evacuated_requests(node_state& s, effects& out);
+void refuse_if_evacuated(node_state& s, request_state& r, effects& out);
+
 // quota.cpp: quotas of organisations
 double quota_cost(organisation const& org, request_arrived const& e);
 std::optional<std::chrono::milliseconds>
@@ -350,6 +366,8 @@
 inline constexpr int snapshot_installed = 204;
 inline constexpr int checkpoint_asked = 205;
 inline constexpr int endpoint_listed = 206;
+inline constexpr int zone_evacuated = 211;
+inline constexpr int zone_restored = 212;
 inline constexpr int log_lost = 301;
 inline constexpr int log_back = 302;
 inline constexpr int append_in_doubt = 303;
--- a/src/core/members.cpp
+++ b/src/core/members.cpp
@@ -33,7 +33,7 @@
 {
     return it.leaving.empty() && it.vetoes.empty() && it.members.empty() &&
            it.counts.empty() && it.successors.empty() && it.endpoints.empty() &&
-           it.parts.empty();
+           it.parts.empty() && it.evacuations.empty();
 }
 
 // Members of incarnation 0 are only listed by the registry; a peer that has
@@ -53,6 +53,7 @@
     news out;
     out.leaving.assign(s.known_leaving.begin(), s.known_leaving.end());
     out.endpoints = all_endpoint_entries(s);
+    out.evacuations = all_evacuations(s);
     return out;
 }
 
@@ -223,7 +224,10 @@
 void on_news(node_state& s, peer_state const& p, news const& e, effects& out)
 {
     news fresh;
-    learn_endpoints(s, e.endpoints, out); // floods new entries itself
+    // Both flood new entries themselves. An endpoint in an evacuated zone must
+    // not become known before its evacuation.
+    learn_evacuations(s, e.evacuations, out);
+    learn_endpoints(s, e.endpoints, out);
     for (auto const& it : e.leaving)
         learn_leaving(s, it, out);
     for (auto const& it : e.vetoes)
@@ -312,6 +316,8 @@
             add(out.endpoints, name, to_string(it.entry.at));
     for (auto const& it : s.known_leaving)
         add(out.endpoints, it.endpoint, it.incarnation);
+    for (auto const& [zone, it] : s.evacuations)
+        add(out.endpoints, zone, to_string(it.entry.at));
     return out;
 }
 
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -152,6 +152,7 @@
     adjust_limits(s);
     shed_queued_requests(s, out);
     refuse_paused_requests(s, out);
+    refuse_evacuated_requests(s, out);
     check_progress_timeouts(s, out);
     release_held_failures(s, out);
     limit_held_answers(s, out);
@@ -204,6 +205,7 @@
             [&](endpoints_listed const& it) {
                 on_endpoints_listed(s, it, out);
             },
+            [&](zones_evacuated const& it) { on_zones_evacuated(s, it, out); },
             [&](nodes_listed const& it) { on_nodes_listed(s, it); },
             [&](dial_failed const& it) { on_dial_failed(s, it); },
             [&](duties_read const& it) { on_duties_read(s, it, out); },
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -152,13 +152,18 @@
                e.schema_versions.end();
 }
 
+bool fits(node_state const& s, endpoint const& e, std::string const& pool,
+          std::string const& version, std::string const& schema)
+{
+    bool const has_version = version.empty() ? !is_withheld(s, pool, e.version)
+                                             : e.version == version;
+    return e.pool == pool && has_version && accepts_schema(e, schema);
+}
+
 bool serves(node_state const& s, endpoint const& e, std::string const& pool,
             std::string const& version, std::string const& schema)
 {
-    bool const fits = version.empty() ? !is_withheld(s, pool, e.version)
-                                      : e.version == version;
-    return e.pool == pool && fits && accepts_schema(e, schema) &&
-           !is_leaving(s, e);
+    return fits(s, e, pool, version, schema) && !is_leaving(s, e);
 }
 
 int uncached_tokens(request_state const& r, endpoint_state const& state,
@@ -208,9 +213,9 @@
     std::array<std::pair<std::uint64_t, std::string const*>, max_homes> best{};
     for (auto const& [name, it] : s.config.endpoints) {
         auto const rank = mix(hash_of(name), *key);
-        bool const fits =
+        bool const is_candidate =
             serves(s, it.value, pool, version, r.request.schema_version);
-        if (!fits || rank < best.back().first)
+        if (!is_candidate || rank < best.back().first)
             continue;
         best.back() = {rank, &name};
         if (best.back().first >= best.front().first)
@@ -329,9 +334,7 @@
     });
 }
 
-} // namespace
-
-bool is_leaving(node_state const& s, endpoint const& e)
+bool leaves_itself(node_state const& s, endpoint const& e)
 {
 #if PAPAYAHOOK_MUTATION_KEEP_LEAVING
     return false;
@@ -342,6 +345,30 @@
     return s.known_leaving.contains({e.name, e.incarnation});
 }
 
+} // namespace
+
+bool is_leaving(node_state const& s, endpoint const& e)
+{
+    return is_evacuated(s, e.zone) || leaves_itself(s, e);
+}
+
+bool waits_for_evacuated_zone(node_state const& s, request_state const& r)
+{
+    auto const pool = pool_of(s, r);
+    auto const version = fixed_version(s, r, pool);
+    bool found = false;
+    for (auto const& [name, it] : s.config.endpoints) {
+        auto const& e = it.value;
+        bool const may_serve =
+            fits(s, e, pool, version, r.request.schema_version) &&
+            !leaves_itself(s, e);
+        if (may_serve && !is_evacuated(s, e.zone))
+            return false;
+        found = found || may_serve;
+    }
+    return found;
+}
+
 double prefill_us_per_token(node_state const& s, std::string const& pool)
 {
     auto const it = s.prefill_us_per_token.find(pool);
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -223,6 +223,21 @@
     CHECK(out.intent->counts == in.intent->counts);
 }
 
+TEST_CASE("evacuations are decoded, and a complete listing ends the others")
+{
+    std::vector<keyed_record> const records{{3, "evacuate/z1", "{}"},
+                                            {4, "config", "{}"},
+                                            {5, "evacuate/z2", "{}"},
+                                            {6, "evacuate/z1", ""}};
+    auto it = decode_evacuations(records, false, 7);
+    REQUIRE(it.entries.size() == 3);
+    CHECK(it.entries[0] == core::zone_evacuation{4, "z1", true});
+    CHECK(it.entries[1] == core::zone_evacuation{6, "z2", true});
+    CHECK(it.entries[2] == core::zone_evacuation{7, "z1", false});
+    CHECK_FALSE(it.complete_at);
+    CHECK(decode_evacuations({}, true, 9).complete_at == 9);
+}
+
 TEST_CASE("a rollout order is decoded and the rollout's state is encoded")
 {
     complaint skipped;
