Warm-up: one node sends to a cold endpoint, at a bounded rate

Pools state how many requests per second a cold endpoint can handle, and endpoints how long they are cold; nothing read either, so that all nodes sent to a cold endpoint as to any other. Slow answers of a cold endpoint change no limit, no learned time and no version's counts. Without a stated rate nothing changes.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -135,6 +135,11 @@
     // KV cache of a model runner, in tokens. Not yet used.
     std::int64_t memory_tokens = 0;
     std::optional<pool_scaling> scaling;
+    // How long an endpoint is cold after its start. Not yet used: the entries
+    // of endpoints state how long each is cold.
+    std::chrono::milliseconds cold_time{};
+    // Requests per second that a cold endpoint can handle; 0: no limit.
+    double cold_rate = 0;
 };
 
 struct weighted_pool
@@ -272,6 +277,8 @@
     bool present = false;  // false: removed from the registry
     bool draining = false; // accepts no new work
     endpoint value;        // not set in an entry that was removed
+    // How much longer it is cold, as of the arrival of the entry.
+    std::chrono::milliseconds cold_left{};
 };
 
 // Whether an availability zone is evacuated. For each zone the entry with the
@@ -701,6 +708,10 @@
     double quota_slack = 0;     // units by which it may be exceeded in addition
     // Window in which quota_overshoot and quota_slack apply.
     std::chrono::milliseconds quota_window{1'000};
+    // All nodes together send a cold endpoint at most its pool's cold_rate
+    // times `cold_overshoot` plus `cold_slack` requests in any second.
+    double cold_overshoot = 1.5;
+    double cold_slack = 5;
     bool duties_enabled = false; // competes for the lease on the duties
     // Orders endpoints while it holds the lease.
     bool fleet_planning_enabled = false;
@@ -1233,6 +1244,10 @@
     std::deque<std::uint64_t> prefix_order; // oldest first
     endpoint_entry entry;                   // newest entry of the registry
     time_point usable_until{}; // no longer listed, but in use until then
+    time_point cold_until{};   // by the entries; time_point{}: not cold
+    std::string cold_sender;   // the one node that sends to it while it is cold
+    double cold_budget = 0;    // calls that this node may send it
+    time_point cold_budget_at{}; // when `cold_budget` was counted
 };
 
 struct evacuation_state
@@ -1330,8 +1345,9 @@
     bool on_new_version = false; // its call goes to the move's new version
     // First chunk late against the old version's mean.
     bool first_chunk_slow = false;
-    int attempts = 0;        // calls made
-    int failed_connects = 0; // calls for which no connection was made
+    int attempts = 0;              // calls made
+    int failed_connects = 0;       // calls for which no connection was made
+    bool on_cold_endpoint = false; // its call began while the endpoint was cold
     bool may_have_run = false;
     bool caller_present = true;
     time_point call_started{};
@@ -1623,6 +1639,7 @@
     // By pool, zone and whether the endpoints are reclaimable.
     std::map<std::tuple<std::string, std::string, bool>, order_state>
         endpoint_orders;
+    time_point cold_senders_at{};  // last choice of cold_sender
     time_point fleet_planned_at{}; // last plan of the fleet
     // Last refused order of reclaimable endpoints, by pool.
     std::map<std::string, time_point> reclaimable_refused_at;
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -128,7 +128,8 @@
 PAPAYAHOOK_JSON(pool_scaling, (min_per_zone, "least"), (max_per_zone, "most"),
                 (boot_time, "boot"), reclaimable_price, zone_cost)
 PAPAYAHOOK_JSON(pool, name, health_path, max_connections, memory_tokens,
-                scaling)
+                scaling, (cold_time, "cold_time", sparse),
+                (cold_rate, "cold_rate", sparse))
 PAPAYAHOOK_JSON(weighted_pool, pool, weight)
 PAPAYAHOOK_JSON(endpoint, name, kind, pool, address, zone, version,
                 schema_versions, slots, checks_fencing, incarnation,
@@ -148,7 +149,8 @@
                 revision, stage_since)
 PAPAYAHOOK_JSON(config_snapshot, applied, lists_endpoints, pools, organisations,
                 endpoints, routes, moves)
-PAPAYAHOOK_JSON(endpoint_entry, at, name, present, draining, (value, "what"))
+PAPAYAHOOK_JSON(endpoint_entry, at, name, present, draining, (value, "what"),
+                (cold_left, "cold_left", sparse))
 PAPAYAHOOK_JSON(usage_report, window, counts)
 PAPAYAHOOK_JSON(pool_move, order, pool, to, deadline, stage, end, reason)
 PAPAYAHOOK_JSON(recent_holder, holder, idle_for)
@@ -427,24 +429,22 @@
                 (reason, "why"))
 PAPAYAHOOK_JSON(pool_move_ordered, at, pool, to, within)
 PAPAYAHOOK_JSON(pool_move_reported, (move, "what"), ok)
-PAPAYAHOOK_JSON(node_settings, name, zone, incarnation, caller_address,
-                peer_address, capacity, max_queue, max_backlog,
-                max_backlog_bytes, max_held_bytes, max_request_bytes,
-                max_attempts, resumes_plain_streams, retry_budget, retry_burst,
-                (retry_burst_nodes, "retry_sharers"), claim_batch,
-                append_budget, outcome_linger, max_shared_body,
-                max_shared_bytes, first_token_target, service_wait, hop_cost,
-                prefill_per_token, endpoint_pause, report_horizon,
-                heartbeat_period, peer_timeout, hub_timeout,
-                (max_store_age, "store_word_age"), stage_time, move_margin,
-                answer_linger, hand_over_after,
-                (hand_over_enabled, "hands_over"),
-                (drain_accept_time, "accept_while_leaving"),
-                (drain_timeout, "leave_within"), exit_linger, quota_overshoot,
-                quota_slack, quota_window, (duties_enabled, "holds_duties"),
-                (fleet_planning_enabled, "plans_fleet"), lease, usage_window,
-                usage_delay, relist_grace, claim_horizon, append_retry,
-                checkpoint_every, checkpoint_period)
+PAPAYAHOOK_JSON(
+    node_settings, name, zone, incarnation, caller_address, peer_address,
+    capacity, max_queue, max_backlog, max_backlog_bytes, max_held_bytes,
+    max_request_bytes, max_attempts, resumes_plain_streams, retry_budget,
+    retry_burst, (retry_burst_nodes, "retry_sharers"), claim_batch,
+    append_budget, outcome_linger, max_shared_body, max_shared_bytes,
+    first_token_target, service_wait, hop_cost, prefill_per_token,
+    endpoint_pause, report_horizon, heartbeat_period, peer_timeout, hub_timeout,
+    (max_store_age, "store_word_age"), stage_time, move_margin, answer_linger,
+    hand_over_after, (hand_over_enabled, "hands_over"),
+    (drain_accept_time, "accept_while_leaving"),
+    (drain_timeout, "leave_within"), exit_linger, quota_overshoot, quota_slack,
+    quota_window, cold_overshoot, cold_slack, (duties_enabled, "holds_duties"),
+    (fleet_planning_enabled, "plans_fleet"), lease, usage_window, usage_delay,
+    relist_grace, claim_horizon, append_retry, checkpoint_every,
+    checkpoint_period)
 PAPAYAHOOK_JSON(settings_changed, (settings, "what"))
 PAPAYAHOOK_JSON(event, at, (body, "what"))
 PAPAYAHOOK_JSON(refuse, id, why)
@@ -560,7 +560,8 @@
         {"in_flight", e.in_flight},       {"reported", e.reported},
         {"reported_at", e.reported_at},   {"failures", e.failures},
         {"paused_until", e.paused_until}, {"first_token_us", e.first_token_us},
-        {"prefixes", e.prefixes.size()}};
+        {"prefixes", e.prefixes.size()},  {"cold_until", e.cold_until},
+        {"cold_sender", e.cold_sender}};
 }
 
 } // namespace
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -373,7 +373,7 @@
 {
     bool const any_pauses = std::ranges::any_of(
         s.endpoints, [&](auto& it) { return it.second.paused_until > s.now; });
-    if (!any_pauses)
+    if (!any_pauses && !is_any_cold(s))
         return;
     // Requests with the same pool, route, version and schema version wait for
     // the same endpoints.
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -53,6 +53,8 @@
 // does not.
 std::chrono::milliseconds time_until_unpaused(node_state const& s,
                                               request_state const& r);
+// Returns whether an endpoint serves these that this node may call now as far
+// as its warm-up allows.
 bool has_endpoint(node_state const& s, std::string const& pool,
                   std::string const& version, std::string const& schema);
 void record_prefixes(node_state& s, request_state const& r);
@@ -196,6 +198,22 @@
 void refuse_evacuated_requests(node_state& s, effects& out);
 void refuse_if_evacuated(node_state& s, request_state& r, effects& out);
 
+// warm_up.cpp: bounded rate of calls to cold endpoints
+bool is_cold(node_state const& s, endpoint const& e);
+// Returns whether this node may send the endpoint a call as far as its warm-up
+// allows.
+bool warm_up_allows_call(node_state const& s, endpoint const& e);
+// Returns from when on it may; the past if it may now.
+time_point warm_up_allows_from(node_state const& s, endpoint const& e);
+void count_cold_call(node_state& s, request_state& r, endpoint const& e);
+// Applies the cold time of an entry. Returns whether peers must know it.
+bool learn_cold_time(node_state& s, endpoint_state& known,
+                     endpoint_entry const& e);
+std::chrono::milliseconds cold_left(node_state const& s,
+                                    endpoint_state const& known);
+bool is_any_cold(node_state const& s);
+void choose_cold_senders(node_state& s);
+
 // quota.cpp: quotas of organisations
 double quota_cost(organisation const& org, request_arrived const& e);
 std::optional<std::chrono::milliseconds>
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -196,7 +196,7 @@
 void sample_first_token_latency(node_state& s, request_state const& r,
                                 duration first_token)
 {
-    if (!runs_on_model_runner(s, r))
+    if (!runs_on_model_runner(s, r) || r.on_cold_endpoint)
         return;
     auto const prefill = r.request.prompt_tokens * s.settings.prefill_per_token;
     auto const target = duration(s.settings.first_token_target);
--- a/src/core/moves.cpp
+++ b/src/core/moves.cpp
@@ -257,6 +257,9 @@
 void record_first_token(node_state& s, request_state const& r,
                         duration first_token)
 {
+    // What a cold endpoint takes says nothing about its version.
+    if (r.on_cold_endpoint)
+        return;
     auto const us = static_cast<double>(first_token.count());
     auto& mean = s.endpoints[r.endpoint].first_token_us;
     mean = mean == 0 ? us : mean + first_token_smoothing * (us - mean);
@@ -273,7 +276,8 @@
 bool is_slow(node_state const& s, request_state const& r, duration first_token)
 {
     auto const it = s.config.moves.find(r.move);
-    if (it == s.config.moves.end() || it->second.baseline_first_token_us == 0)
+    if (r.on_cold_endpoint || it == s.config.moves.end() ||
+        it->second.baseline_first_token_us == 0)
         return false;
     double const limit =
         std::max(min_slow_us, it->second.baseline_first_token_us *
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -148,6 +148,7 @@
 
 void on_tick(node_state& s, effects& out)
 {
+    choose_cold_senders(s);
     expire_requests(s, out);
     adjust_limits(s);
     shed_queued_requests(s, out);
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -122,6 +122,7 @@
         known = {};
         known.in_flight = calls;
     }
+    bool const turned_cold = learn_cold_time(s, known, e);
     // The entry of a dropped endpoint has no fields; the fields known before
     // describe it.
     auto const previous = known.entry;
@@ -139,7 +140,7 @@
     }
     if (changed)
         report_entry(known.entry, out);
-    return changed;
+    return changed || turned_cold;
 }
 
 // Returns entries for endpoints that were dropped while this node was not
@@ -208,8 +209,10 @@
 {
     std::vector<endpoint_entry> out;
     for (auto const& [name, known] : s.endpoints)
-        if (known.entry.at != 0)
+        if (known.entry.at != 0) {
             out.push_back(known.entry);
+            out.back().cold_left = cold_left(s, known);
+        }
     return out;
 }
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -289,7 +289,8 @@
         auto load = estimate_load(s, e, state, in.load);
         load.expected += in.uncertainty * e.slots * fraction_of_draw(draw);
         bool const has_free_slot = load.known < usable_slots(e, in.in_share);
-        if (state.paused_until > s.now || !has_free_slot)
+        if (state.paused_until > s.now || !has_free_slot ||
+            !warm_up_allows_call(s, e))
             continue;
         bool const untried = !contains(r.failed_endpoints, name);
         // Jitter per request breaks ties; without it all nodes would pick the
@@ -381,7 +382,8 @@
                   std::string const& version, std::string const& schema)
 {
     return std::ranges::any_of(s.config.endpoints, [&](auto const& it) {
-        return serves(s, it.second.value, pool, version, schema);
+        return serves(s, it.second.value, pool, version, schema) &&
+               warm_up_allows_call(s, it.second.value);
     });
 }
 
@@ -395,11 +397,12 @@
         if (!serves(s, it.value, pool, version, r.request.schema_version))
             continue;
         auto const known = s.endpoints.find(name);
-        bool const pauses =
-            known != s.endpoints.end() && known->second.paused_until > s.now;
-        if (!pauses)
+        auto until = warm_up_allows_from(s, it.value);
+        if (known != s.endpoints.end())
+            until = std::max(until, known->second.paused_until);
+        if (until <= s.now)
             return 0ms;
-        end = std::min(end, known->second.paused_until);
+        end = std::min(end, until);
     }
     return end == time_point::max()
                ? 0ms
@@ -459,7 +462,7 @@
     bool const queued =
         r.prefill_ahead > 0 ||
         us > queued_factor * r.prefill_tokens * prefill_us_per_token(s, r.pool);
-    if (answered && !queued) {
+    if (answered && !queued && !r.on_cold_endpoint) {
         auto& fit = s.prefill_fits[r.pool];
         add_sample(fit, r.prefill_tokens, us);
         if (auto const it = slope_of(fit))
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -326,6 +326,7 @@
     s.calls[r.call] = r.request.id;
     begin_answer(s, r, e.kind);
     begin_prefill(s, r, e);
+    count_cold_call(s, r, e);
     s.endpoints[endpoint].in_flight++;
     s.limits[{e.pool, version}].in_flight++;
     s.counts.dispatches++;
@@ -693,6 +694,9 @@
     for (auto const& id : stalled) {
         auto& r = s.requests.at(id);
         emit_log_event(out, events::connection_silent, id, r.endpoint, "");
+        // Slowness of a cold endpoint is no reason to pause it.
+        if (r.on_cold_endpoint)
+            s.endpoints[r.endpoint].failures = 0;
         out.push_back(cancel_call{r.call});
         fail_call(s, r, step::receive, true, "no progress in time", out);
     }
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -96,6 +96,21 @@
           static_cast<double>(s.settings.max_request_bytes));
 }
 
+// What gets no calls, or few.
+void add_restrictions(prometheus::Registry& r, core::node_state const& s)
+{
+    add_quarantine(r, s);
+    auto const zones = std::ranges::count_if(
+        s.evacuations, [](auto const& it) { return it.second.entry.active; });
+    gauge(r, "papayahook_evacuated_zones",
+          "Zones whose endpoints get no new work", static_cast<double>(zones));
+    auto const cold = std::ranges::count_if(s.endpoints, [&](auto const& it) {
+        return it.second.cold_until > s.now;
+    });
+    gauge(r, "papayahook_cold_endpoints",
+          "Endpoints that state that they are cold", static_cast<double>(cold));
+}
+
 } // namespace
 
 std::string metrics_text(core::node_state const& s, link_bytes links,
@@ -110,7 +125,7 @@
             n.refused_not_run, {{"outcome", "not_run"}});
     counter(r, "papayahook_refusals_total", "Requests without an answer",
             n.refused_unknown, {{"outcome", "outcome_unknown"}});
-    add_quarantine(r, s);
+    add_restrictions(r, s);
     counter(r, "papayahook_broken_answers_total",
             "Answers that ended in an error event", n.failed_answers);
     counter(r, "papayahook_dispatches_total", "Calls to endpoints",
--- a/test/evacuation_test.cpp
+++ b/test/evacuation_test.cpp
@@ -24,7 +24,12 @@
     core::offset end = 0;
     std::set<std::size_t> denied; // nodes that the store turns away
     std::map<std::size_t, core::time_point> next_read;
+    core::endpoints_listed entries; // of all endpoints
+    core::config_snapshot config;
     std::map<std::string, int> calls; // by zone
+    // Times at which each endpoint got calls, as counted there.
+    std::map<std::string, std::vector<core::time_point>> ledger;
+    std::chrono::milliseconds ask_period{250};
     std::map<std::string, core::refusal> refused;
     int asked = 0;
 };
@@ -93,9 +98,9 @@
         if (it.active)
             list.entries.push_back(it);
     list.complete_at = w.end;
-    give(w.f, i, all_entries());
+    give(w.f, i, w.entries);
     give(w.f, i, list);
-    give(w.f, i, core::config_published{document()});
+    give(w.f, i, core::config_published{w.config});
     give(w.f, i, core::log_reachable{true});
 }
 
@@ -111,6 +116,7 @@
         for (auto const& it : std::exchange(w.f.others[i], {}))
             if (auto const* const d = std::get_if<core::dispatch>(&it)) {
                 w.calls[zone_of(d->endpoint)]++;
+                w.ledger[d->endpoint].push_back(w.f.now);
                 give(w.f, i, core::answer_head{d->call});
                 give(w.f, i, core::answer_chunk{d->call, 0, "x"});
                 give(w.f, i, core::answer_end{d->call, 1});
@@ -135,7 +141,7 @@
             if (w.f.running[i] && w.f.follows[i].registry)
                 read_store(w, i);
         run(w.f, 50ms);
-        if (t % 250ms == 0ms)
+        if (t % w.ask_period == 0ms)
             for (std::size_t i = 0; i < w.f.nodes.size(); ++i)
                 ask(w, i);
         answer_calls(w);
@@ -145,6 +151,8 @@
 zone_site make_site(std::size_t nodes = node_count)
 {
     zone_site w;
+    w.entries = all_entries();
+    w.config = document();
     w.f = make_fabric(nodes, 3, nodes / 20);
     for (auto& it : w.f.nodes)
         it.settings.max_store_age = 1'200ms;
@@ -473,3 +481,174 @@
     auto const after = plan_orders(w, 5s);
     CHECK(after.empty());
 }
+
+namespace {
+
+constexpr double cold_rate = 10;
+// bounds.cold_overshoot and bounds.cold_slack
+constexpr int max_cold_calls = static_cast<int>(cold_rate * 1.5) + 5;
+
+// Writes new entries of the endpoints of a zone, or of all.
+void write_entries(zone_site& w, std::string const& zone,
+                   std::chrono::milliseconds cold_left)
+{
+    static core::offset at = 10'000;
+    for (auto& it : w.entries.entries)
+        if (zone.empty() || it.value.zone == zone) {
+            it.at = ++at;
+            it.cold_left = cold_left;
+        }
+}
+
+// Runs while endpoints are cold; they write their entries once per second.
+void run_cold(zone_site& w, std::string const& zone,
+              std::chrono::milliseconds& cold_left,
+              std::chrono::milliseconds time)
+{
+    for (auto t = 0ms; t < time; t += 1s) {
+        write_entries(w, zone, cold_left);
+        run(w, 1s);
+        cold_left -= 1s;
+    }
+}
+
+zone_site make_cold_site()
+{
+    auto w = make_site(60);
+    w.config.applied++;
+    core::pool p;
+    p.name = "model";
+    p.cold_rate = cold_rate;
+    w.config.pools.push_back(p);
+    w.config.routes[0].value.deadline = 2s;
+    w.ask_period = 100ms;
+    run(w, 2s);
+    return w;
+}
+
+// Returns the most calls that an endpoint of the zone got in any second.
+int most_calls(zone_site const& w, std::string const& zone)
+{
+    std::ptrdiff_t out = 0;
+    for (auto const& [endpoint, times] : w.ledger)
+        for (auto it = times.begin(); it != times.end(); ++it) {
+            auto const end = std::ranges::find_if(
+                it, times.end(), [&](auto at) { return at >= *it + 1s; });
+            if (zone.empty() || zone_of(endpoint) == zone)
+                out = std::max(out, end - it);
+        }
+    return static_cast<int>(out);
+}
+
+std::size_t sender_of(zone_site const& w, std::string const& endpoint)
+{
+    auto const& known = w.f.nodes[0].endpoints.at(endpoint);
+    return std::stoul(known.cold_sender.substr(1));
+}
+
+} // namespace
+
+TEST_CASE("cold endpoints of a zone get few calls, whichever nodes fail")
+{
+    auto w = make_cold_site();
+    CHECK(most_calls(w, "zone-1") > max_cold_calls);
+    auto left = 30'000ms;
+    run_cold(w, "zone-1", left, 2s); // until all nodes know
+    w.ledger.clear();
+    w.calls.clear();
+    int const fault = GENERATE(0, 1, 2, 3);
+    CAPTURE(fault);
+    if (fault == 1) // the senders are killed
+        for (int i = 0; i < endpoints_per_zone; ++i)
+            kill(w.f, sender_of(w, "zone-1/" + std::to_string(i)));
+    if (fault == 2) // a third of the nodes is cut off, each alone
+        for (std::size_t i = 1; i < 60; i += 3) {
+            w.f.cut.insert(i);
+            w.denied.insert(i);
+        }
+    run_cold(w, "zone-1", left, 4s);
+    if (fault == 3) // the senders restart
+        for (int i = 0; i < endpoints_per_zone; ++i)
+            restart_process(w, sender_of(w, "zone-1/" + std::to_string(i)));
+    run_cold(w, "zone-1", left, 5s);
+    CHECK(most_calls(w, "zone-1") <= max_cold_calls);
+    CHECK(w.calls["zone-1"] > 9);
+    write_entries(w, "zone-1", 0ms);
+    w.ledger.clear();
+    run(w, left + 3s);
+    CHECK(most_calls(w, "zone-1") > max_cold_calls);
+}
+
+TEST_CASE("when all endpoints are cold at once, calls beyond their rate wait "
+          "or are refused")
+{
+    auto w = make_cold_site();
+    auto left = 20'000ms;
+    run_cold(w, "", left, 2s);
+    w.ledger.clear();
+    run_cold(w, "", left, 6s);
+    CHECK(w.ledger.size() == 3 * endpoints_per_zone);
+    CHECK(most_calls(w, "") <= max_cold_calls);
+    std::uint64_t refused = 0;
+    for (auto const& it : w.f.nodes) {
+        refused += it.counts.refused_not_run;
+        CHECK(it.counts.refused_unknown == 0);
+    }
+    CHECK(refused > 100);
+}
+
+TEST_CASE("an endpoint is cold from its first entry, and again later, without "
+          "news of each decrease")
+{
+    auto w = make_cold_site();
+    auto e = entry_in("zone-1", 50'000, "zone-1/new");
+    e.cold_left = 6s;
+    w.entries.entries.push_back(e);
+    w.ledger.clear();
+    run(w, 4s);
+    CHECK(w.ledger["zone-1/new"].size() > 4);
+    CHECK(most_calls(w, "zone-1") > max_cold_calls); // the others
+    std::erase_if(w.ledger,
+                  [](auto const& it) { return it.first != "zone-1/new"; });
+    CHECK(most_calls(w, "zone-1") <= max_cold_calls);
+    w.f.entries_sent = 0;
+    for (int i = 1; i < 5; ++i) {
+        w.entries.entries.back().at++;
+        w.entries.entries.back().cold_left = 2'000ms - i * 500ms;
+        run(w, 500ms);
+    }
+    CHECK(w.f.entries_sent == 0);
+    run(w, 3s);
+    w.entries.entries.back().at++;
+    w.entries.entries.back().cold_left = 5s;
+    run(w, 2s);
+    CHECK(w.f.entries_sent > 0);
+    for (auto const& it : w.f.nodes)
+        CHECK(it.endpoints.at("zone-1/new").cold_until > it.now);
+}
+
+TEST_CASE("a slow answer of a cold endpoint lowers no limit")
+{
+    bool const is_cold = GENERATE(true, false);
+    auto w = make_node();
+    auto doc = document();
+    doc.applied = 101;
+    core::pool p;
+    p.name = "model";
+    p.cold_rate = is_cold ? cold_rate : 0;
+    doc.pools.push_back(p);
+    give(w.f, 0, core::config_published{doc});
+    auto list = all_entries();
+    for (auto& it : list.entries) {
+        it.at += 100;
+        it.cold_left = 60s;
+    }
+    give(w.f, 0, list);
+    w.f.now += 1s;
+    ask(w, 0);
+    auto const call = take_call(w);
+    w.f.now += 1s;
+    give(w.f, 0, core::answer_chunk{call.call, 0, "x"});
+    auto const& limits = w.f.nodes[0].limits;
+    CHECK((limits.at({"model", ""}).late_mean > 0) == !is_cold);
+}
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -32,6 +32,7 @@
      "route_type": "non_idempotent", "service": "s2", "timeout_ms": "soon"}],
   "services": [
     {"name": "s1", "health_path": "/health", "max_conns": 360,
+     "cold_s": 2.5, "cold_per_s": 8,
      "engine": {"kv_capacity_tokens": 370000},
      "scaling": {"min": 1, "max": 12, "boot_s": 4.0, "spot_price": 0.22,
                  "zone_prices": {"z1": 0.85, "z2": "free"}}}, 5],
@@ -104,6 +105,8 @@
     CHECK(order.deadline == 30s); // wrong type: the default
     REQUIRE(it.pools.size() == 1);
     CHECK(it.pools[0].memory_tokens == 370'000);
+    CHECK(it.pools[0].cold_time == 2'500ms);
+    CHECK(it.pools[0].cold_rate == 8);
     REQUIRE(it.pools[0].scaling);
     CHECK(it.pools[0].scaling->zone_cost.size() == 1);
     REQUIRE(it.organisations.size() == 1);
@@ -126,7 +129,7 @@
         return R"({"service":"s1","address":"10.1.0.9:80","zone":"z1",)"
                R"("version":"v1","slots":64,"born":1768722342030,)"
                R"("models":[{"name":"m"}],"spot":true,"state":")" +
-               state + R"(","sequence":4})";
+               state + R"(","sequence":4,"cold_left_ms":1200})";
     };
     complaint skipped;
     auto it = decode_endpoint({3, "i-1", text("ready")}, skipped);
@@ -136,6 +139,7 @@
     CHECK_FALSE(it.draining);
     CHECK(it.value.reclaimable);
     CHECK(it.value.incarnation == "1768722342030");
+    CHECK(it.cold_left == 1'200ms);
     CHECK(it.value.kind == core::endpoint_kind::model_runner);
     CHECK(decode_endpoint({4, "i-1", text("draining")}, skipped).draining);
     for (std::string const& bad :
@@ -415,10 +419,13 @@
                              "listen.readiness=127.0.0.1:2\n"
                              "internal_ports=7600,7615\n"
                              "bounds.lease_ms=4000\nnew_field=1\n"
+                             "bounds.cold_overshoot=2\nbounds.cold_slack=3\n"
                              "cloud_api.address=127.0.0.1:4\n"
                              "cloud_api.duties=usage\n";
     auto const it = parse_settings(text + "platform.address=127.0.0.1:3\n");
     CHECK(it.product.core.lease == 4s);
+    CHECK(it.product.core.cold_overshoot == 2);
+    CHECK(it.product.core.cold_slack == 3);
     CHECK(it.product.peer.port == 7600);
     CHECK(it.product.core.duties_enabled);
     CHECK_FALSE(it.product.core.fleet_planning_enabled);
