Warm-up: test of a move to a version whose endpoints are cold

Slow answers of cold endpoints were only tested against the limits. The test shows that they are not counted as slow under a move, and that requests beyond the rate go to the old version.

--- a/test/evacuation_test.cpp
+++ b/test/evacuation_test.cpp
@@ -652,3 +652,56 @@
     auto const& limits = w.f.nodes[0].limits;
     CHECK((limits.at({"model", ""}).late_mean > 0) == !is_cold);
 }
+
+TEST_CASE("a version whose endpoints are cold is not slow, and its requests go "
+          "to the old one beyond the rate")
+{
+    bool const is_cold = GENERATE(true, false);
+    auto w = make_node();
+    auto doc = document();
+    doc.applied = 101;
+    core::pool p;
+    p.name = "model";
+    p.cold_rate = is_cold ? cold_rate : 0;
+    doc.pools.push_back(p);
+    doc.routes[0].value.version = "v1";
+    give(w.f, 0, core::config_published{doc});
+    auto list = all_entries();
+    for (auto& it : list.entries) {
+        bool const is_new = it.value.zone == "zone-0";
+        it.at += 100;
+        it.value.slots = 1'000;
+        it.value.version = is_new ? "v2" : "v1";
+        it.cold_left = is_new ? 60s : 0s;
+    }
+    give(w.f, 0, list);
+    core::move_state m;
+    m.spec.name = "m";
+    m.spec.route = "chat";
+    m.spec.to = "v2";
+    m.spec.deadline = w.f.now + 1h;
+    m.from = "v1";
+    m.stage = core::last_stage;
+    m.started = 1;
+    m.baseline_first_token_us = 1'000;
+    w.f.nodes[0].config.moves["m"] = m;
+    w.f.now += 1s;
+    for (int i = 0; i < 100; ++i)
+        ask(w, 0);
+    auto const calls = take_calls(w);
+    CHECK(calls.size() == 100);
+    auto const to_new =
+        std::ranges::count(calls, "v2", &core::dispatch::version);
+    CHECK(to_new > 0);
+    CHECK((to_new <= max_cold_calls) == is_cold);
+    w.f.now += 1s;
+    for (auto const& it : calls) {
+        if (it.version != "v2")
+            continue; // the old version's mean stays as it is
+        give(w.f, 0, core::answer_chunk{it.call, 0, "x"});
+        give(w.f, 0, core::answer_end{it.call, 1});
+    }
+    auto const& counts = w.f.nodes[0].config.moves.at("m").own_new;
+    CHECK(counts.answers > 0);
+    CHECK((counts.slow > 0) == !is_cold);
+}
