Speeds: slowness of endpoints, shared by all nodes, and placement by it

Above eight nodes endpoints were chosen almost at random, with one time per token for runners whose speeds differ by 2.7. Nodes now share the times that they measure; hubs evaluate them.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -177,7 +177,7 @@
     bool streams = false;              // answers with server-sent events
     bool resumable = false; // a stream may continue at another endpoint
     int max_attempts = 0;   // calls per request; 0: node_settings decides
-    // Until the first byte; zero: none. Not yet used.
+    // Until the first byte; zero: node_settings::first_token_target.
     std::chrono::milliseconds first_byte_target{};
     // False: jobs, and other requests that are not repeatable and already sent
     // or claimed, continue after their caller has disconnected.
@@ -389,6 +389,17 @@
 // without calls and tokens are left out.
 using endpoint_loads = std::vector<std::pair<std::uint32_t, endpoint_load>>;
 
+// A time measured at an endpoint or in a pool, or what was learned from such
+// times; src/core/speeds.cpp tells the meaning of the two values.
+struct speed_figure
+{
+    std::uint32_t key = 0; // of an endpoint's incarnation or of a pool
+    std::int32_t first = 0;
+    std::int32_t second = 0;
+};
+
+using speed_figures = std::vector<speed_figure>;
+
 // Work of a pool, as a number of endpoints.
 struct pool_work
 {
@@ -428,6 +439,9 @@
     std::map<std::string, pool_work> work; // by pool
     endpoint_loads calls;
     usage_counts usage; // newest windows only
+    // Times measured since the last heartbeat, to hubs.
+    speed_figures speed_samples;
+    speed_figures speeds; // part of what hubs have learned, to their subtree
 };
 
 // Stated by a node that has no registry state yet.
@@ -1311,6 +1325,11 @@
     time_point answering_since{};
     int prefill_tokens = 0; // of the open call, until its first token
     int prefill_ahead = 0;  // tokens pending at the endpoint at call_started
+    // The endpoint is assumed to have the shared prefix because of calls of
+    // other nodes.
+    bool assumes_prefix = false;
+    time_point chunk_at{}; // newest chunk of the open call
+    std::vector<duration> pauses; // between its chunks, not yet sampled
     time_point progress_at{};
     int status = 0;
     std::string content_type;
@@ -1453,16 +1472,57 @@
     time_point report_not_before{}; // earliest time of the next call
 };
 
-// Linear regression of the time to the first token over the prompt tokens,
-// from the newest samples. Time that does not depend on the prompt goes into
-// the intercept.
-struct prefill_fit
+// Newest times of one kind at an endpoint, or of the prompts of a pool.
+struct speed_sample
+{
+    double tokens = 0; // of prompts of a pool: at an endpoint of mean speed
+    double us = 0;
+    time_point at{};
+};
+
+struct speed_samples
+{
+    std::vector<speed_sample> newest; // ring
+    std::size_t next = 0;             // place of the next sample
+};
+
+// What is known of the speed of an endpoint's incarnation.
+struct learned_speed
+{
+    double slowness = 1; // times, relative to the mean of the pool
+    int samples = 0;
+    time_point at{}; // when it was learned or arrived
+    // As last sent to this node's subtree.
+    double sent_slowness = 0;
+    time_point sent_at{};
+};
+
+// First token of a prompt that does not wait: the time that does not depend on
+// the prompt, and the time per token at an endpoint of mean speed.
+struct prefill_line
+{
+    double fixed_us = 0;
+    double us_per_token = 0;
+};
+
+// Speeds of endpoints, and what a node shares of them.
+struct speed_state
+{
+    // Hubs only; by the key of an incarnation and the kind of time, or by the
+    // key of a pool.
+    std::map<std::pair<std::uint32_t, int>, speed_samples> samples;
+    speed_figures unsent; // for the other hubs, or for the hub of this node
+    std::map<std::uint32_t, learned_speed> learned; // by key of an incarnation
+    std::map<std::string, prefill_line> prefill;    // by pool
+    std::uint32_t sent_up_to = 0; // key after which the next part begins
+    time_point learned_at{};      // when a hub last evaluated its samples
+};
+
+// Newest calls by prompt prefix, for the number of endpoints that hold one.
+struct prefix_demand
 {
-    double weight = 0;         // sum of the sample weights, which decay
-    double tokens = 0;         // weighted sum
-    double us = 0;             // weighted sum
-    double tokens_squared = 0; // weighted sum
-    double tokens_us = 0;      // weighted sum
+    std::map<std::uint64_t, double> calls; // by the key of the prefix
+    double total = 0;
 };
 
 // Endpoint time that the requests of a pool need.
@@ -1582,6 +1642,9 @@
     // Moving average of the calls in `remote_loads`. It is used when there are
     // many nodes, because their reports are then older than most calls last.
     std::unordered_map<std::uint32_t, double> remote_call_means;
+    // The same for the tokens in `remote_loads`, and their sum.
+    std::unordered_map<std::uint32_t, double> remote_token_means;
+    double remote_tokens = 0;
     // The registry state known here is complete as of then; time_point{}: none
     // is known.
     time_point store_as_of{};
@@ -1611,7 +1674,8 @@
     std::deque<successor_news> successors; // newest last, bounded
     // Learned microseconds per prompt token, by pool.
     std::map<std::string, double> prefill_us_per_token;
-    std::map<std::string, prefill_fit> prefill_fits; // by pool
+    speed_state speeds;
+    std::map<std::string, prefix_demand> prefix_demands; // by pool
     std::deque<decision> decisions;
     time_point last_heartbeat_at{};
     call_id next_call = 1;
@@ -1667,6 +1731,16 @@
 // Returns the parts of prompts that get no calls.
 std::vector<part_news> quarantined_parts(node_state const& state);
 
+// Speed of an endpoint's incarnation, as this node knows it.
+struct endpoint_speed
+{
+    std::string endpoint;
+    double slowness = 1; // times, relative to the mean of the pool
+    int samples = 0;     // 0: nothing is known
+    duration age{};      // since it was learned or arrived
+};
+std::vector<endpoint_speed> endpoint_speeds(node_state const& state);
+
 // Returns the number of members that this node knows as up, itself included.
 std::ptrdiff_t live_members(node_state const& state);
 
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -55,6 +55,22 @@
 void on_instance_list(node_state& s, instance_list const& e, effects& out);
 bool learn_leaving(node_state& s, endpoint_leaving const& e, effects& out);
 
+// speeds.cpp: speeds of endpoints, learned from answers
+std::uint32_t speed_key(endpoint const& e);
+// Returns the slowness of an endpoint relative to the mean of its pool.
+double slowness_of(node_state const& s, endpoint const& e);
+void sample_pause(node_state& s, request_state& r);
+void sample_prefill(node_state& s, request_state const& r, double us);
+void sample_answer(node_state& s, request_state& r);
+speed_figures take_speed_samples(node_state& s);
+speed_figures next_speeds(node_state& s);
+// Applies samples of a peer, which another hub gets as well if `forwards`.
+void learn_speed_samples(node_state& s, speed_figures const& from,
+                         bool forwards);
+void learn_speeds(node_state& s, speed_figures const& from);
+// Evaluates the samples of a hub when it is time.
+void evaluate_speeds(node_state& s);
+
 // limits.cpp: limits of calls in flight and of the time in a queue
 
 // Fraction of a node's limit and of an endpoint's slots that is reserved for
@@ -293,8 +309,14 @@
 void add_usage(usage_counts& to, usage_counts const& from);
 // Returns the load of an endpoint from all other nodes, as far as reported.
 endpoint_load remote_load(node_state const& s, std::string const& endpoint);
-// Returns the moving average of the other nodes' calls at an endpoint.
-double mean_remote_calls(node_state const& s, std::string const& endpoint);
+// Returns the moving averages of the other nodes' calls and tokens at an
+// endpoint.
+struct mean_load
+{
+    double calls = 0;
+    double tokens = 0;
+};
+mean_load mean_remote_load(node_state const& s, std::string const& endpoint);
 // Returns whether the figures of at least three quarters of the live nodes are
 // known here.
 bool covers_most_nodes(node_state const& s);
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -104,6 +104,7 @@
     if (is_proof)
         clear_parts(s, r, out);
     s.endpoints[r.endpoint].failures = 0;
+    sample_answer(s, r);
     s.counts.answered++;
     record_answer(s, r, out);
     end_request(s, r);
@@ -323,6 +324,8 @@
     r.call_started = s.now;
     r.progress_at = s.now;
     r.answering_since = {};
+    r.chunk_at = {};
+    r.pauses.clear();
     s.calls[r.call] = r.request.id;
     begin_answer(s, r, e.kind);
     begin_prefill(s, r, e);
@@ -424,6 +427,7 @@
     r->progress_at = s.now;
     if (r->answering_since == time_point{})
         r->answering_since = s.now;
+    sample_pause(s, *r);
     auto const next = r->chunks.size();
 #if !PAPAYAHOOK_MUTATION_ACCEPT_ANY_ORDER
     if (e.index < next)
