--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1642,9 +1642,8 @@
     // Moving average of the calls in `remote_loads`. It is used when there are
     // many nodes, because their reports are then older than most calls last.
     std::unordered_map<std::uint32_t, double> remote_call_means;
-    // The same for the tokens in `remote_loads`, and their sum.
+    // The same for the tokens in `remote_loads`.
     std::unordered_map<std::uint32_t, double> remote_token_means;
-    double remote_tokens = 0;
     // The registry state known here is complete as of then; time_point{}: none
     // is known.
     time_point store_as_of{};
--- a/src/core/aggregation.cpp
+++ b/src/core/aggregation.cpp
@@ -221,9 +221,6 @@
     };
     smooth(s.remote_call_means, &endpoint_load::calls);
     smooth(s.remote_token_means, &endpoint_load::tokens);
-    s.remote_tokens = 0;
-    for (auto const& [key, mean] : s.remote_token_means)
-        s.remote_tokens += mean;
 }
 
 mean_load mean_remote_load(node_state const& s, std::string const& endpoint)
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -41,8 +41,11 @@
 constexpr double comfortable_fraction = 0.5;
 // Weight of the time beyond it.
 constexpr double excess_weight = 10;
-// Calls begin and end before their number is propagated. The nodes' views of a
-// load differ by about its standard deviation.
+// Calls begin and end before their number is propagated, so that a number says
+// less of the present than the mean of the pool. Nodes that all trusted it
+// would fill the endpoints that were the emptiest.
+constexpr double trust_in_calls = 0.3;
+// Uncertainty of a load, as a multiple of its standard deviation.
 constexpr double load_uncertainty = 2;
 // Up to eight nodes, smaller differences of speed do not change the order.
 constexpr double min_speed_difference = 1.25;
@@ -209,6 +212,18 @@
     return out;
 }
 
+mean_load mean_of_others(node_state const& s, std::vector<candidate> const& all)
+{
+    mean_load out;
+    auto const n = static_cast<double>(std::max<std::size_t>(1, all.size()));
+    for (auto const& it : all) {
+        auto const load = mean_remote_load(s, it.value->name);
+        out.calls += load.calls / n;
+        out.tokens += load.tokens / n;
+    }
+    return out;
+}
+
 // Number of endpoints, of `n`, that hold a prefix: by its part of the calls.
 std::size_t home_count(node_state const& s, std::string const& pool,
                        std::uint64_t key, std::size_t n)
@@ -299,9 +314,9 @@
     prefill_line prefill;
     std::vector<candidate> candidates;
     std::uint64_t request_hash = 0;
-    // Mean time that the prompts of other nodes keep a new one waiting, which
-    // is also about how much it varies.
-    double mean_wait_us = 0;
+    // Load of an endpoint by other nodes, on the mean of the pool. The time for
+    // its tokens is also about how much the wait of a new prompt varies.
+    mean_load mean_of_others;
     // Expected time to the first token up to which a shorter one is no better.
     double comfortable_us = 0;
     // Endpoints per 1,000 that are considered in addition to the homes.
@@ -349,10 +364,13 @@
     choice out;
     out.endpoint = e.name;
     out.untried = !contains(r.failed_endpoints, e.name);
+    double const others_calls = load.expected - state.in_flight;
     double calls = load.expected;
     if (in.many_nodes)
-        calls += load_uncertainty * fraction_of_draw(draw) *
-                 std::sqrt(std::max(0.0, calls - state.in_flight));
+        calls +=
+            (1 - trust_in_calls) * (in.mean_of_others.calls - others_calls) +
+            load_uncertainty * fraction_of_draw(draw) *
+                std::sqrt(in.mean_of_others.calls);
     double const utilization = calls / std::max(1, e.slots);
     double const batch = utilization * utilization * full_endpoint_cost_us *
                          (is_runner ? 1 : slowness);
@@ -360,8 +378,8 @@
         out.cost = hop + own * slowness + ahead + batch + jitter;
         return out;
     }
-    double const doubt = 2 * fraction_of_draw(draw) * in.mean_wait_us *
-                         slowness * (is_runner ? 1 : 0);
+    double const doubt = 2 * fraction_of_draw(draw) * in.mean_of_others.tokens *
+                         us_per_token * slowness;
     double const others = hop + ahead + batch + doubt;
     out.excess = std::max(0.0, in.prefill.fixed_us + own * slowness + others -
                                    in.comfortable_us);
@@ -582,9 +600,7 @@
     if (in.many_nodes) {
         in.request_hash += static_cast<std::uint64_t>(r.attempts);
         in.comfortable_us = comfortable_time(s, r);
-        in.mean_wait_us =
-            s.remote_tokens * in.prefill.us_per_token /
-            static_cast<double>(std::max<std::size_t>(1, in.candidates.size()));
+        in.mean_of_others = mean_of_others(s, in.candidates);
     }
     auto const best =
         in.many_nodes ? choose_among_many(s, r, in) : best_choice(s, r, in);
--- a/src/core/speeds.cpp
+++ b/src/core/speeds.cpp
@@ -55,7 +55,7 @@
 // An endpoint with that many samples is known; only a part of its further
 // samples is sent.
 constexpr int known_samples = 12;
-constexpr unsigned pause_thinning = 2;
+constexpr unsigned pause_thinning = 3;
 constexpr unsigned prefill_thinning = 8;
 // Results sent to the subtree with one heartbeat.
 constexpr std::size_t max_speeds_sent = 20;
