--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -198,6 +198,7 @@
     endpoint const* value = nullptr;
     std::uint64_t hash = 0; // of its name
     bool is_home = false;
+    bool in_zones = true; // in a zone that the request may use
 };
 
 std::vector<candidate> find_candidates(node_state const& s,
@@ -313,6 +314,8 @@
     pool_load load;
     prefill_line prefill;
     std::vector<candidate> candidates;
+    // Considers the candidates of all zones, not only those `in_zones`.
+    bool all_zones = false;
     std::uint64_t request_hash = 0;
     // Load of an endpoint by other nodes, on the mean of the pool. The time for
     // its tokens is also about how much the wait of a new prompt varies.
@@ -394,11 +397,18 @@
     return a.untried != b.untried ? a.untried : a.cost < b.cost;
 }
 
+bool is_considered(candidate const& it, choice_inputs const& in)
+{
+    return it.in_zones || in.all_zones;
+}
+
 choice best_choice(node_state& s, request_state const& r,
                    choice_inputs const& in)
 {
     choice best;
     for (auto const& at : in.candidates) {
+        if (!is_considered(at, in))
+            continue;
         auto const& e = *at.value;
         auto const draw = mix(at.hash, in.request_hash);
         if (!at.is_home && draw / 1'000 % 1'000 >= in.sampled_per_thousand)
@@ -421,8 +431,9 @@
 choice best_of_sample(node_state& s, request_state const& r, choice_inputs& in,
                       std::size_t n)
 {
-    in.sampled_per_thousand =
-        1'000 * n / std::max({n, in.candidates.size(), std::size_t{1}});
+    auto const size = static_cast<std::size_t>(std::ranges::count_if(
+        in.candidates, [&](auto const& it) { return is_considered(it, in); }));
+    in.sampled_per_thousand = 1'000 * n / std::max({n, size, std::size_t{1}});
     return best_choice(s, r, in);
 }
 
@@ -437,6 +448,24 @@
     return best;
 }
 
+// Uses other zones than those of the candidates `in_zones` only if these have
+// no room.
+choice choose_in_zones(node_state& s, request_state const& r, choice_inputs& in)
+{
+    auto const choose = [&] {
+        return in.many_nodes ? choose_among_many(s, r, in)
+                             : best_choice(s, r, in);
+    };
+    auto best = choose();
+    bool const is_limited = std::ranges::any_of(
+        in.candidates, [](auto const& it) { return !it.in_zones; });
+    if (best.endpoint.empty() && is_limited) {
+        in.all_zones = true;
+        best = choose();
+    }
+    return best;
+}
+
 double comfortable_time(node_state const& s, request_state const& r)
 {
     auto const it = s.config.routes.find(r.request.route);
@@ -602,8 +631,7 @@
         in.comfortable_us = comfortable_time(s, r);
         in.mean_of_others = mean_of_others(s, in.candidates);
     }
-    auto const best =
-        in.many_nodes ? choose_among_many(s, r, in) : best_choice(s, r, in);
+    auto const best = choose_in_zones(s, r, in);
     if (!best.endpoint.empty())
         record_decision(s, r.request.id, "route.least_first_token",
                         best.endpoint + " at " +
--- a/src/core/speeds.cpp
+++ b/src/core/speeds.cpp
@@ -35,7 +35,7 @@
 // Quantile of the times that counts as the endpoint's own. Waiting behind
 // prompts and noisy moments lengthen less than half of them.
 constexpr double own_quantile = 0.4;
-constexpr std::size_t max_endpoint_samples = 24;
+constexpr std::size_t max_endpoint_samples = 16;
 constexpr std::size_t max_pool_samples = 256;
 // Samples of a pool that a node sends with one heartbeat.
 constexpr int max_pool_samples_sent = 1;
@@ -55,7 +55,8 @@
 // An endpoint with that many samples is known; only a part of its further
 // samples is sent.
 constexpr int known_samples = 12;
-constexpr unsigned pause_thinning = 3;
+constexpr unsigned pause_thinning = 2;
+constexpr unsigned pool_thinning = 4;
 constexpr unsigned prefill_thinning = 8;
 // Results sent to the subtree with one heartbeat.
 constexpr std::size_t max_speeds_sent = 20;
@@ -398,7 +399,8 @@
     auto const key = pool_key(e->pool);
     auto const own =
         std::ranges::count(s.speeds.unsent, key, &speed_figure::key);
-    if (is_hub(s) || own < max_pool_samples_sent)
+    if ((is_hub(s) || own < max_pool_samples_sent) &&
+        !is_left_out(s, *e, r, pool_thinning))
         add_sample(s, {key,
                        std::max(pool_kind,
                                 to_int(r.prefill_tokens * slowness_of(s, *e))),
@@ -424,7 +426,9 @@
     }
     r.pauses.clear();
     auto const us = static_cast<double>((s.now - r.call_started).count());
-    if (!is_left_out(s, *e, r, pause_thinning))
+    // An error may be answered without any work.
+    constexpr int first_error = 400;
+    if (r.status < first_error && !is_left_out(s, *e, r, pause_thinning))
         add_sample(s,
                    {speed_key(*e), pause_kind, to_int(std::min(us, max_us))});
 }
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -96,6 +96,32 @@
           static_cast<double>(s.settings.max_request_bytes));
 }
 
+constexpr std::size_t max_speed_series = 1'000;
+
+void add_speeds(prometheus::Registry& r, core::node_state const& s)
+{
+    std::size_t n = 0;
+    for (auto const& it : core::endpoint_speeds(s)) {
+        if (it.samples == 0)
+            continue;
+        if (n++ >= max_speed_series)
+            break;
+        prometheus::Labels const labels{{"endpoint", it.endpoint}};
+        gauge(r, "papayahook_endpoint_slowness",
+              "Time of an endpoint relative to the mean of its pool",
+              it.slowness, labels);
+        gauge(r, "papayahook_endpoint_speed_samples",
+              "Samples behind the slowness of an endpoint", it.samples, labels);
+        gauge(r, "papayahook_endpoint_speed_age_seconds",
+              "Time since the slowness of an endpoint was learned",
+              std::chrono::duration<double>(it.age).count(), labels);
+    }
+    for (auto const& [pool, us] : s.prefill_us_per_token)
+        gauge(r, "papayahook_prefill_seconds_per_token",
+              "Learned time per prompt token of a pool", us / 1e6,
+              {{"pool", pool}});
+}
+
 } // namespace
 
 std::string metrics_text(core::node_state const& s, link_bytes links,
@@ -147,6 +173,7 @@
     gauge(r, "papayahook_open_calls", "Calls in flight",
           static_cast<double>(s.calls.size()));
     add_request_memory(r, s);
+    add_speeds(r, s);
     gauge(r, "papayahook_log_reachable", "1 when the log answers",
           s.log_reachable ? 1 : 0);
     if (s.store_as_of != core::time_point{})
