--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <numeric>
 
@@ -272,8 +273,8 @@
         return it->value->zone == s.settings.zone;
     };
     std::vector<candidate*> ranked;
-    for (auto& it : all)
-        ranked.push_back(&it);
+    std::ranges::transform(all, std::back_inserter(ranked),
+                           [](auto& it) { return &it; });
     if (many_nodes && std::ranges::any_of(ranked, in_own_zone))
         std::erase_if(ranked, [&](auto const* it) { return !in_own_zone(it); });
     auto const homes =
--- a/src/core/speeds.cpp
+++ b/src/core/speeds.cpp
@@ -18,7 +18,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
+#include <iterator>
 #include <utility>
 
 namespace papayahook::core {
@@ -160,8 +160,9 @@
         is_left_out(s, *e, r, pause_thinning))
         return;
     std::vector<double> us;
-    for (auto const it : pauses)
-        us.push_back(static_cast<double>(it.count()));
+    std::ranges::transform(pauses, std::back_inserter(us), [](duration it) {
+        return static_cast<double>(it.count());
+    });
     add_sample(s, {speed_key(*e), pause_kind, to_int(low_quantile(us))});
 }
 
--- a/test/speeds_test.cpp
+++ b/test/speeds_test.cpp
@@ -360,6 +360,42 @@
     CHECK(speed_at(w, 50, "e4").slowness < 0.7);
 }
 
+// The endpoints were drawn from the request's id alone, so that each attempt
+// met the same ones.
+TEST_CASE("a retry goes to no endpoint that failed the request")
+{
+    auto w = make_site();
+    constexpr std::size_t node = 50;
+    w.f.nodes[node].settings.retry_budget = 10;
+    for (int i = 0; i < 100; ++i) {
+        core::request_arrived e;
+        e.id = "retry" + std::to_string(i);
+        e.route = "review";
+        e.prompt_tokens = 3'000;
+        e.prefix_blocks = {1, 2};
+        e.block_tokens = {1'000, 2'000};
+        give(w.f, node, e);
+        std::set<std::string> used;
+        int attempts = 0;
+        for (;;) {
+            auto const effects = std::exchange(w.f.others[node], {});
+            auto const it = std::ranges::find_if(effects, [](auto const& n) {
+                return std::holds_alternative<core::dispatch>(n);
+            });
+            if (it == effects.end())
+                break;
+            auto const& d = std::get<core::dispatch>(*it);
+            attempts++;
+            used.insert(d.endpoint);
+            w.f.nodes[node].endpoints[d.endpoint].failures = 0; // no pause
+            give(w.f, node,
+                 core::call_failed{d.call, core::step::receive, true, "x"});
+        }
+        CHECK(attempts == 4);
+        CHECK(used.size() == 4);
+    }
+}
+
 TEST_CASE("absurd samples of a peer change no speed beyond bounds")
 {
     auto w = make_site();
