Spillover: a zone keeps its callers' requests while it meets their targets

Two thirds of the calls left a zone that had room: a hop cost 2 ms in a choice whose random part was larger. Each node now derives, from the figures that the hubs aggregate, which share of its zone's requests gains by leaving, and sends that share away by the hash of the prefix.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -654,6 +654,12 @@
     std::chrono::milliseconds service_wait{1'000};
     // Cost of an endpoint in another zone.
     std::chrono::milliseconds hop_cost{2};
+    // Requests use endpoints of their node's zone while these meet their
+    // targets; false: zones differ only by `hop_cost`.
+    bool prefers_own_zone = true;
+    // Cost of each KiB of a body that is sent to another zone, as the time that
+    // a caller may wait longer to avoid it. Default: bytes cost nothing.
+    std::chrono::microseconds hop_cost_per_kib{0};
     // Time per prompt token, assumed until a value is learned from answers.
     std::chrono::microseconds prefill_per_token{100};
     // How long an endpoint gets no calls after failures.
@@ -1483,6 +1489,38 @@
     time_point surplus_since{}; // since when fewer endpoints are enough
 };
 
+// Why a call goes to an endpoint of a zone.
+enum class zone_reason
+{
+    own,         // the endpoint is in this node's zone
+    any,         // the pool has too few endpoints here to prefer the zone
+    spill,       // a part of the zone's requests gains by leaving it
+    no_endpoint, // the zone has no usable endpoint of the pool
+    no_room,     // no endpoint of the zone that was chosen had room
+};
+
+// Which endpoints a request may use.
+struct zone_choice
+{
+    std::string zone; // empty: those of all zones
+    zone_reason reason = zone_reason::any;
+};
+
+// Share of the requests of this node's zone to a pool that is sent to other
+// zones. All nodes of the zone derive it from the same aggregated figures.
+struct spill_state
+{
+    bool prefers_zone = false; // false: zones make no difference
+    bool zone_usable = true;   // this zone has a usable endpoint
+    double share = 0;          // of the requests, that leaves the zone
+    // Fractions of `share` by target zone.
+    std::map<std::string, double> targets;
+    // Expected wait for an endpoint by zone, in microseconds; moving average.
+    std::map<std::string, double> wait_us;
+    duration target{};      // least first-byte target of the pool's routes
+    offset target_as_of{0}; // configuration that `target` is taken from
+};
+
 // Why something was decided. Kept in a bounded ring; papayahookctl explain
 // prints it.
 struct decision
@@ -1511,6 +1549,8 @@
     std::uint64_t taken_over = 0;  // requests taken over from leaving peers
     std::uint64_t quarantines = 0; // parts of prompts, each time
     std::uint64_t refused_quarantined = 0; // requests with such a part
+    // Calls by zone of the endpoint and why it was taken.
+    std::map<std::pair<std::string, zone_reason>, std::uint64_t> zone_calls;
 };
 
 // Upper bounds of the histogram buckets. One more bucket counts larger values.
@@ -1613,6 +1653,8 @@
     std::map<std::string, double> prefill_us_per_token;
     std::map<std::string, prefill_fit> prefill_fits; // by pool
     std::deque<decision> decisions;
+    std::map<std::string, spill_state> spill; // by pool
+    time_point spill_planned_at{};
     time_point last_heartbeat_at{};
     call_id next_call = 1;
     std::uint64_t next_append = 1;
@@ -1696,5 +1738,6 @@
 char const* to_string(move_end it);
 char const* to_string(claim_kind it);
 char const* to_string(request_phase it);
+char const* to_string(zone_reason it);
 
 } // namespace papayahook::core
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -36,6 +36,8 @@
 void shed_queued_requests(node_state& s, effects& out);
 
 // routing.cpp: choice of an endpoint
+// Returns whether the nodes are too many to know the current load.
+bool has_many_nodes(node_state const& s);
 bool is_leaving(node_state const& s, endpoint const& e);
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version, bool in_share);
@@ -55,6 +57,14 @@
 void on_instance_list(node_state& s, instance_list const& e, effects& out);
 bool learn_leaving(node_state& s, endpoint_leaving const& e, effects& out);
 
+// spill.cpp: requests that leave their zone
+void plan_spill(node_state& s, effects& out);
+// Returns the zones whose endpoints the request may use.
+zone_choice zones_for(node_state const& s, request_state const& r,
+                      std::string const& pool);
+void count_zone_call(node_state& s, request_state const& r, endpoint const& e,
+                     std::string const& pool);
+
 // limits.cpp: limits of calls in flight and of the time in a queue
 
 // Fraction of a node's limit and of an endpoint's slots that is reserved for
@@ -374,6 +384,8 @@
 inline constexpr int part_quarantined = 507;
 inline constexpr int part_released = 508;
 inline constexpr int part_probed = 509;
+inline constexpr int spill_started = 531;
+inline constexpr int spill_ended = 532;
 inline constexpr int peer_up = 601;
 inline constexpr int peer_down = 602;
 inline constexpr int peer_refused = 603;
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -39,11 +39,6 @@
 // load differ by this much.
 constexpr double load_uncertainty = 1.5;
 
-bool has_many_nodes(node_state const& s)
-{
-    return live_members(s) > max_nodes_unsampled;
-}
-
 // Estimated load of a pool, for endpoints without a recent report.
 struct pool_load
 {
@@ -257,6 +252,7 @@
     double uncertainty = 0;
     // Endpoints per 1,000 that are considered in addition to the homes.
     std::uint64_t sampled_per_thousand = 1'000;
+    std::string zone; // empty: endpoints of all zones
 };
 
 struct choice
@@ -276,6 +272,8 @@
             continue;
         if (r.head_sent && !resumes_streams(s, r, e.kind))
             continue;
+        if (!in.zone.empty() && e.zone != in.zone)
+            continue;
         auto const draw = mix(hash_of(name), in.request_hash);
         bool const is_home = contains(in.homes, name);
         if (!is_home && draw / 1'000 % 1'000 >= in.sampled_per_thousand)
@@ -331,6 +329,11 @@
 
 } // namespace
 
+bool has_many_nodes(node_state const& s)
+{
+    return live_members(s) > max_nodes_unsampled;
+}
+
 bool is_leaving(node_state const& s, endpoint const& e)
 {
 #if PAPAYAHOOK_MUTATION_KEEP_LEAVING
@@ -441,6 +444,34 @@
     r.prefill_tokens = 0;
 }
 
+namespace {
+
+// Returns the best of a sample of the endpoints, or of all of them if the
+// sample has none with room.
+choice choose_sampled(node_state& s, request_state const& r, choice_inputs in)
+{
+    if (has_many_nodes(s)) {
+        in.uncertainty = load_uncertainty;
+        auto const eligible =
+            std::ranges::count_if(s.config.endpoints, [&](auto const& it) {
+                auto const& e = it.second.value;
+                return e.pool == in.pool &&
+                       (in.zone.empty() || e.zone == in.zone);
+            });
+        in.sampled_per_thousand =
+            1'000 * sampled_endpoints /
+            std::max<std::size_t>(sampled_endpoints,
+                                  static_cast<std::size_t>(eligible));
+        auto const sampled = best_choice(s, r, in);
+        if (!sampled.endpoint.empty())
+            return sampled;
+        in.sampled_per_thousand = 1'000;
+    }
+    return best_choice(s, r, in);
+}
+
+} // namespace
+
 std::string choose_endpoint(node_state& s, request_state const& r,
                             std::string const& version, bool in_share)
 {
@@ -451,22 +482,12 @@
     in.load = estimate_pool_load(s, in.pool);
     in.homes = homes_of(s, r, in.pool, version);
     in.request_hash = hash_of(r.request.id);
-    choice best;
-    if (has_many_nodes(s)) {
-        in.uncertainty = load_uncertainty;
-        auto const pool_size =
-            std::ranges::count_if(s.config.endpoints, [&](auto const& it) {
-                return it.second.value.pool == in.pool;
-            });
-        in.sampled_per_thousand =
-            1'000 * sampled_endpoints /
-            std::max<std::size_t>(sampled_endpoints,
-                                  static_cast<std::size_t>(pool_size));
-        best = best_choice(s, r, in);
-        in.sampled_per_thousand = 1'000;
+    in.zone = zones_for(s, r, in.pool).zone;
+    auto best = choose_sampled(s, r, in);
+    if (best.endpoint.empty() && !in.zone.empty()) {
+        in.zone.clear();
+        best = choose_sampled(s, r, in);
     }
-    if (best.endpoint.empty())
-        best = best_choice(s, r, in);
     if (!best.endpoint.empty())
         record_decision(s, r.request.id, "route.least_first_token",
                         best.endpoint + " at " +
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -313,6 +313,7 @@
 {
     auto const& e = s.config.endpoints.at(endpoint).value;
     bool const is_first = r.attempts == 0;
+    count_zone_call(s, r, e, pool_of(s, r));
     r.attempts++;
     r.endpoint = endpoint;
     r.incarnation = e.incarnation;
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -9,6 +9,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace papayahook::runtime {
@@ -64,6 +65,27 @@
           static_cast<double>(core::quarantined_parts(s).size()));
 }
 
+void add_zones(prometheus::Registry& r, core::node_state const& s)
+{
+    for (auto const& [key, n] : s.counts.zone_calls)
+        counter(r, "papayahook_zone_calls_total",
+                "Calls by zone of the endpoint and why it was taken", n,
+                {{"zone", key.first}, {"reason", to_string(key.second)}});
+    for (auto const& [pool, it] : s.spill) {
+        gauge(r, "papayahook_spill_share",
+              "Share of the zone's requests that is sent to other zones",
+              it.share, {{"pool", pool}});
+        for (auto const& [zone, us] : it.wait_us)
+            if (std::isfinite(us))
+                gauge(r, "papayahook_zone_wait_seconds",
+                      "Expected wait for an endpoint of the zone",
+                      std::chrono::duration<double>(
+                          std::chrono::duration<double, std::micro>(us))
+                          .count(),
+                      {{"pool", pool}, {"zone", zone}});
+    }
+}
+
 void add_connections(prometheus::Registry& r,
                      std::vector<connection_use> const& connections)
 {
@@ -103,6 +125,7 @@
 {
     prometheus::Registry r;
     add_connections(r, connections);
+    add_zones(r, s);
     auto const& n = s.counts;
     counter(r, "papayahook_requests_total", "Requests received", n.requests);
     counter(r, "papayahook_answers_total", "Whole answers", n.answered);
