--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -51,11 +51,6 @@
 // Up to eight nodes, smaller differences of speed do not change the order.
 constexpr double min_speed_difference = 1.25;
 
-bool has_many_nodes(node_state const& s)
-{
-    return live_members(s) > max_nodes_unsampled;
-}
-
 // Estimated load of a pool, for endpoints without a recent report.
 struct pool_load
 {
@@ -275,14 +270,17 @@
     auto const key = home_key(r.request);
     if (!key)
         return;
-    auto const in_own_zone = [&](auto const* it) {
-        return it->value->zone == s.settings.zone;
+    // The zone that the request is sent to, or else the own zone.
+    bool const is_limited =
+        std::ranges::any_of(all, [](auto const& it) { return !it.in_zones; });
+    auto const may_be_home = [&](auto const* it) {
+        return is_limited ? it->in_zones : it->value->zone == s.settings.zone;
     };
     std::vector<candidate*> ranked;
     std::ranges::transform(all, std::back_inserter(ranked),
                            [](auto& it) { return &it; });
-    if (many_nodes && std::ranges::any_of(ranked, in_own_zone))
-        std::erase_if(ranked, [&](auto const* it) { return !in_own_zone(it); });
+    if (many_nodes && std::ranges::any_of(ranked, may_be_home))
+        std::erase_if(ranked, [&](auto const* it) { return !may_be_home(it); });
     auto const homes =
         many_nodes ? home_count(s, pool, *key, ranked.size()) : 1;
     auto const end = ranked.begin() + static_cast<std::ptrdiff_t>(
@@ -536,6 +534,11 @@
 
 } // namespace
 
+bool has_many_nodes(node_state const& s)
+{
+    return live_members(s) > max_nodes_unsampled;
+}
+
 bool is_leaving(node_state const& s, endpoint const& e)
 {
     return is_evacuated(s, e.zone) || leaves_itself(s, e);
@@ -657,6 +660,9 @@
     if (in.candidates.empty())
         return {};
     in.request_hash = hash_of(r.request.id);
+    auto const zones = zones_for(s, r, pool);
+    for (auto& it : in.candidates)
+        it.in_zones = zones.zone.empty() || it.value->zone == zones.zone;
     mark_homes(s, r, pool, in.many_nodes, in.candidates);
     if (in.many_nodes) {
         in.request_hash += static_cast<std::uint64_t>(r.attempts);
