Placement: less weight on stale tokens, fewer draws for late requests

The tokens of others count for 0.4 of their difference from the pool's mean, requests that would be late draw 8 endpoints instead of 16, their excess weighs 3 instead of 10, and the doubt is four times the mean wait.

--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -29,7 +29,7 @@
 // that none of them would answer in time considers more.
 constexpr std::ptrdiff_t max_nodes_unsampled = 8;
 constexpr std::size_t sampled_endpoints = 4;
-constexpr std::size_t sampled_if_late = 16;
+constexpr std::size_t sampled_if_late = 8;
 // Endpoints that hold the prefix of related requests, as a multiple of what
 // their part of the calls would take of the endpoints.
 constexpr double homes_per_demand = 1.5;
@@ -41,11 +41,15 @@
 // worse than a shorter one. The rest covers noise.
 constexpr double comfortable_fraction = 0.5;
 // Weight of the time beyond it.
-constexpr double excess_weight = 10;
+constexpr double excess_weight = 3;
 // Calls begin and end before their number is propagated, so that a number says
 // less of the present than the mean of the pool. Nodes that all trusted it
 // would fill the endpoints that were the emptiest.
 constexpr double trust_in_calls = 0.3;
+constexpr double trust_in_tokens = 0.4;
+// Uncertainty of the wait behind the prompts of others, as a multiple of its
+// mean.
+constexpr double wait_uncertainty = 4;
 // Uncertainty of a load, as a multiple of its standard deviation.
 constexpr double load_uncertainty = 2;
 // Up to eight nodes, smaller differences of speed do not change the order.
@@ -361,7 +365,11 @@
     double const slowness = slowness_for_choice(s, e, in.many_nodes);
     double const us_per_token = is_runner ? in.prefill.us_per_token : 0;
     double const own = uncached_tokens(r, state, at.is_home) * us_per_token;
-    double const ahead = load.tokens * us_per_token * slowness;
+    double tokens = load.tokens;
+    if (in.many_nodes)
+        tokens += (1 - trust_in_tokens) *
+                  (in.mean_of_others.tokens - (tokens - state.prefill_tokens));
+    double const ahead = tokens * us_per_token * slowness;
     // Jitter per request breaks ties; without it all nodes would pick the same
     // endpoint.
     double const jitter = static_cast<double>(draw % 1'000);
@@ -382,8 +390,8 @@
         out.cost = hop + own * slowness + ahead + batch + jitter;
         return out;
     }
-    double const doubt = 2 * fraction_of_draw(draw) * in.mean_of_others.tokens *
-                         us_per_token * slowness;
+    double const doubt = wait_uncertainty * fraction_of_draw(draw) *
+                         in.mean_of_others.tokens * us_per_token * slowness;
     double const others = hop + ahead + batch + doubt;
     out.excess = std::max(0.0, in.prefill.fixed_us + own * slowness + others -
                                    in.comfortable_us);
