Quotas: count what the nodes do not know of one another yet

Cause: a node may spend one or two requests until its next heartbeat, so an organisation is refused while most of its quota is left; in a flood at many nodes the window's bound is exceeded. Change: the common balance is complemented by the sum of the window.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1393,9 +1393,6 @@
     // Lower bound of the difference of this node's clock to the peer's.
     std::optional<duration> clock_difference;
     bool is_informed = false; // was sent what it did not know
-    // Units per second, by organisation.
-    std::map<std::string, double> spend_rates;
-    time_point spend_rates_at{}; // arrival of the newest report of spending
     // Newest totals that the peer reported; empty: it reports increments.
     std::optional<std::map<std::string, double>> spent_totals;
     // Units that a peer in this node's subtree reported, by organisation.
@@ -1427,6 +1424,14 @@
     double requested = 0;        // units requested since sampled_at
     time_point refilled_at{};
     time_point sampled_at{};
+    // Units spent by all nodes within the newest quota_window, as far as known
+    // here: their sum, and the parts by the time at which they became known.
+    double window_spent = 0;
+    std::deque<std::pair<time_point, double>> window_parts;
+    // Units per second that the other nodes spend, moving average.
+    double others_rate = 0;
+    double others_spent = 0; // units reported since the last heartbeat
+    int demand_samples = 0;  // in `demand`
 };
 
 // The lease on the duties, and what its holder does.
@@ -1511,6 +1516,8 @@
     std::uint64_t taken_over = 0;  // requests taken over from leaving peers
     std::uint64_t quarantines = 0; // parts of prompts, each time
     std::uint64_t refused_quarantined = 0; // requests with such a part
+    // Requests refused by each limit: quota, in flight, queue, wait, deadline.
+    std::map<std::string, std::uint64_t> refused_by_limit;
 };
 
 // Upper bounds of the histogram buckets. One more bucket counts larger values.
@@ -1528,6 +1535,14 @@
     duration sum{};
 };
 
+// How fast the queue of a pool is served by this node.
+struct service_rate
+{
+    double per_second = 0; // first calls, moving average; 0: not known
+    int started = 0;       // first calls since `since`
+    time_point since{};
+};
+
 // Latencies of callers' requests, from their arrival at this node.
 struct latencies
 {
@@ -1567,8 +1582,9 @@
     // Bytes of the bodies of open requests: of all, and of the long ones.
     std::size_t request_bytes = 0;
     std::size_t long_request_bytes = 0;
-    std::map<std::string, double> retry_tokens; // by pool
-    std::map<std::string, quota_state> quotas;  // by organisation
+    std::map<std::string, double> retry_tokens;        // by pool
+    std::map<std::string, quota_state> quotas;         // by organisation
+    std::map<std::string, service_rate> service_rates; // by pool
     std::size_t listed_nodes = 0; // in the registry, this one included
     // Link to this node's hub; 0: this node is a hub or has none.
     std::uint64_t hub_link = 0;
