HTTP server: connections end without a reset, so that answers arrive whole

Cause: RESTinio ends a connection by a shutdown of both sides and a close.

Change: the socket type that RESTinio uses ends a connection gracefully: the sending side is shut down, input is discarded, and the descriptor is closed when the caller has closed, 1 s after its machine has received everything, after 10 s, or after 8 MiB. Until then it counts among the open connections. The end of the process waits for these within its drain time, and ends connections whose last answer is still on its way in the same manner. All HTTP listeners use this type: callers of both programs, admin, readiness and metrics; refusals share its code.

--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -73,6 +73,13 @@
     it.stop.emit(asio::cancellation_type::terminal);
 }
 
+void arriving_requests::end_answers()
+{
+    for (auto* const it : readers_)
+        if (it->socket->is_open() && has_undelivered_bytes(*it->socket))
+            it->socket->close();
+}
+
 std::shared_ptr<void> arriving_requests::complete()
 {
     if (current == nullptr)
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -18,6 +18,7 @@
 namespace papayahook::runtime {
 
 class arriving_requests;
+class counted_socket;
 
 // What a connection has received since its last whole request.
 struct request_reader
@@ -32,6 +33,7 @@
     bool given_up = false;
     std::weak_ptr<void> open_request; // expired: none of the connection is open
     asio::cancellation_signal stop;   // of the pending read
+    counted_socket* socket = nullptr;
 };
 using request_reader_ptr = std::shared_ptr<request_reader>;
 
@@ -53,6 +55,9 @@
     // open until the result and its copies are destroyed.
     std::shared_ptr<void> complete();
 
+    // Closes the connections whose last answer is still on its way.
+    void end_answers();
+
     request_reader* current = nullptr; // its read is being handled
 
 private:
@@ -64,7 +69,7 @@
     std::size_t bytes_ = 0;
 };
 
-// A socket whose reads are counted.
+// A socket whose reads are counted, and which is closed gracefully.
 class counted_socket : public asio::ip::tcp::socket
 {
 public:
@@ -74,12 +79,29 @@
     {
     }
 
+    // `it` is released when the descriptor is closed.
+    void hold(std::shared_ptr<void> it) { held_ = std::move(it); }
+
+    // RESTinio ends a connection with these two. After a shutdown of the
+    // receiving side, bytes that arrive reset the connection.
+    void shutdown(shutdown_type, std::error_code&) {}
+    void close()
+    {
+        if (!is_open())
+            return;
+        std::error_code ec; // ignored: nothing is pending then
+        cancel(ec);
+        close_gracefully(std::move(*this), std::move(held_));
+    }
+
     template <class Buffers, class Handler>
     void async_read_some(Buffers const& to, Handler handler)
     {
-        if (!reader_)
+        if (!reader_) {
             reader_ = std::make_shared<request_reader>(arriving_requests::of(
                 asio::query(get_executor(), asio::execution::context)));
+            reader_->socket = this;
+        }
         auto const executor =
             asio::get_associated_executor(handler, get_executor());
         auto on_read = [this, r = reader_, handler = std::move(handler)](
@@ -90,7 +112,8 @@
                 ec = asio::error::no_buffer_space;
                 if (r->open_request.expired())
                     refuse_connection(std::move(*this),
-                                      "too many requests arriving\n");
+                                      "too many requests arriving\n",
+                                      std::move(held_));
             }
             r->all->current = r.get();
             handler(ec, ec ? 0 : n);
@@ -106,6 +129,7 @@
     // Set by the first read: RESTinio moves a socket before, and uses the one
     // it has moved from again.
     request_reader_ptr reader_;
+    std::shared_ptr<void> held_;
 };
 
 } // namespace papayahook::runtime
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -26,25 +26,28 @@
 constexpr std::chrono::hours handler_time_limit{24};
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
 
-// Counts the open connections, and reports those that are closed.
+// Reports connections that are closed.
 struct state_listener
 {
     std::function<void(std::uint64_t)> on_close;
-    std::shared_ptr<std::size_t> open;
 
     void state_changed(restinio::connection_state::notice_t const& n)
     {
         using namespace restinio::connection_state;
-        if (std::holds_alternative<accepted_t>(n.cause()))
-            ++*open;
-        if (!std::holds_alternative<closed_t>(n.cause()))
-            return;
-        --*open;
-        if (on_close)
+        if (on_close && std::holds_alternative<closed_t>(n.cause()))
             on_close(n.connection_id());
     }
 };
 
+// Counts a connection until its descriptor is closed.
+std::shared_ptr<void> count_open(std::shared_ptr<std::size_t> const& n)
+{
+    ++*n;
+    return {nullptr, [n](void*) {
+                --*n;
+            }};
+}
+
 struct traits : restinio::default_single_thread_traits_t
 {
     using connection_state_listener_t = state_listener;
@@ -289,6 +292,7 @@
     void refuse_caller(tcp::socket socket);
 
     std::size_t max_connections = 0;
+    std::shared_ptr<std::size_t> open; // connections
     std::shared_ptr<state_listener> listener =
         std::make_shared<state_listener>();
     std::unique_ptr<connection_factory> factory;
@@ -302,13 +306,14 @@
     auto const caller = socket.remote_endpoint(ec);
     if (ec)
         return; // reset meanwhile
-    if (*listener->open >= max_connections) {
+    if (*open >= max_connections) {
         refuse_caller(std::move(socket));
         return;
     }
     socket.set_option(tcp::no_delay(true), ec); // ignored: only a speed-up
-    factory->create_new_connection(std::move(socket), caller, {nullptr})
-        ->init();
+    counted_socket it(std::move(socket));
+    it.hold(count_open(open));
+    factory->create_new_connection(std::move(it), caller, {nullptr})->init();
 }
 
 void http_server::impl::refuse_caller(tcp::socket socket)
@@ -331,9 +336,8 @@
     arriving->max_bytes = options.max_arriving_bytes;
     impl_->max_connections = options.max_connections;
     impl_->listener->on_close = options.on_close;
-    impl_->listener->open = options.open_connections
-                                ? options.open_connections
-                                : std::make_shared<std::size_t>(0);
+    impl_->open = options.open_connections ? options.open_connections
+                                           : std::make_shared<std::size_t>(0);
     auto limits = restinio::incoming_http_msg_limits_t{}
                       .max_url_size(options.max_header_bytes)
                       .max_field_name_size(options.max_header_bytes)
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -2,6 +2,7 @@
 #include "runtime/node.hpp"
 
 #include "codec/json.hpp"
+#include "runtime/arriving_requests.hpp"
 #include "runtime/guard.hpp"
 #include "runtime/logging.hpp"
 
@@ -111,7 +112,10 @@
     auto const& s = n.state;
     bool const has_time =
         s.now < s.leaving_since + core::duration(s.settings.drain_timeout);
-    if (*n.unwritten == 0 || !has_time)
+    if (*n.unwritten == 0)
+        arriving_requests::of(n.io)->end_answers();
+    bool const has_answers = *n.unwritten != 0 || ending_connections(n.io) != 0;
+    if (!has_answers || !has_time)
         n.io.stop();
 }
 
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -44,9 +44,9 @@
 }
 
 // All routes of the platform lead to a runner that takes its time.
-void use_slow_runner(small_platform& p)
+void use_slow_runner(small_platform& p, std::size_t padding = 0)
 {
-    p.fake.add_runner({"i-2", "slow", "v1", false, 900ms, 300ms});
+    p.fake.add_runner({"i-2", "slow", "v1", false, 900ms, 300ms, padding});
     p.fake.put(platform::wire::operator_topic,
                platform::wire::configuration_key, R"({"routes":[
 {"name":"p","host":"h","path_prefix":"/p/","route_type":"non_idempotent",
@@ -513,3 +513,131 @@
     CHECK(count("Connection: close") == 1);
     CHECK(node.run->wait(10s) == 0);
 }
+
+namespace {
+
+constexpr std::size_t long_answer = 1'000'000;
+// More than the kernel takes at once from a process.
+constexpr std::size_t longest_answer = 3'900'000;
+
+// A caller with a small window that reads slowly, so that the end of a long
+// answer is still with the node's kernel when the node has written it.
+struct slow_caller
+{
+    explicit slow_caller(platform_node const& n)
+    {
+        socket.open(asio::ip::tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(4'096));
+        socket.connect(endpoint_of(n.front));
+    }
+
+    void send(char const* id)
+    {
+        send_bytes("GET /p/x HTTP/1.1\r\nHost: h\r\n"
+                   "Authorization: Bearer k1\r\n" +
+                   std::string(platform::wire::request_id) + ": " + id +
+                   "\r\n\r\n");
+    }
+
+    void send_bytes(std::string const& it)
+    {
+        asio::write(socket, asio::buffer(it));
+    }
+
+    bool is_answered()
+    {
+        return eventually(10s, [&] { return socket.available() != 0; });
+    }
+
+    // Returns how the connection ended.
+    std::error_code read_all()
+    {
+        std::array<char, 16'384> buf{};
+        for (std::error_code ec;;) {
+            answer.append(buf.data(), socket.read_some(asio::buffer(buf), ec));
+            if (ec)
+                return ec;
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+
+    // The answer is the only one.
+    bool is_whole(std::size_t length = long_answer) const
+    {
+        auto const head = answer.find("\r\n\r\n");
+        return answer.starts_with("HTTP/1.1 200") && head != answer.npos &&
+               answer.substr(head + 4) ==
+                   "answer to one" + std::string(length, '.');
+    }
+
+    asio::io_context io;
+    asio::ip::tcp::socket socket{io};
+    std::string answer;
+};
+
+// `follows` is sent once the answer has begun; empty: the end of the input.
+void check_whole_answer(bool stops, std::string const& follows,
+                        std::size_t length)
+{
+    small_platform p;
+    use_slow_runner(p, length);
+    auto& node = p.nodes[0];
+    slow_caller caller(node);
+    caller.send("one");
+    std::this_thread::sleep_for(300ms);
+    if (stops)
+        node.run->signal(SIGTERM);
+    REQUIRE(caller.is_answered());
+    if (follows == "request")
+        caller.send("two");
+    else if (!follows.empty())
+        caller.send_bytes(follows);
+    else
+        caller.socket.shutdown(asio::socket_base::shutdown_send);
+    auto const ec = caller.read_all();
+    CAPTURE(stops, follows, ec.message(), caller.answer.size());
+    CHECK(ec == asio::error::eof);
+    CHECK(caller.is_whole(length));
+    if (stops)
+        CHECK(node.run->wait(10s) == 0);
+}
+
+} // namespace
+
+// A connection that is closed with unread bytes is reset, and the reset
+// discards what its caller has not received yet.
+TEST_CASE("an answer arrives whole though its caller sends more than is read")
+{
+    auto const [stops, follows] = GENERATE(table<bool, std::string>(
+        {{true, "request"}, {true, "no request\r\n\r\n"}, {true, ""}}));
+    check_whole_answer(stops, follows, long_answer);
+}
+
+// RESTinio closes the connection at once, and drops what it has not written.
+TEST_CASE("an answer arrives whole though its caller ends its input or sends "
+          "no request while it is written",
+          "[!mayfail]")
+{
+    auto const follows =
+        GENERATE(std::string("no request\r\n\r\n"), std::string());
+    check_whole_answer(false, follows, longest_answer);
+}
+
+// The wait for callers is bounded.
+TEST_CASE("callers that never close do not keep a process from its end")
+{
+    bool const reads = GENERATE(true, false);
+    small_platform p;
+    use_slow_runner(p, long_answer);
+    auto& node = p.nodes[0];
+    slow_caller caller(node);
+    caller.send("one");
+    std::this_thread::sleep_for(300ms);
+    node.run->signal(SIGTERM);
+    REQUIRE(caller.is_answered());
+    caller.send("two");
+    if (reads)
+        caller.read_all();
+    // Without a read, until the drain time of these settings is over.
+    CHECK(node.run->wait(reads ? 3s : 10s) == 0);
+}
--- a/test/support/platform_fake.cpp
+++ b/test/support/platform_fake.cpp
@@ -262,7 +262,8 @@
             : std::pair(r.fails ? 500 : 200, runtime::header_list{});
     std::ranges::copy(extra, std::back_inserter(headers));
     if (!in.path.starts_with("/s/") || status != 200) {
-        out->send(status, headers, "answer to " + id);
+        out->send(status, headers,
+                  "answer to " + id + std::string(r.padding, '.'));
         return;
     }
     headers.emplace_back("Content-Type", "text/event-stream");
--- a/test/support/platform_fake.hpp
+++ b/test/support/platform_fake.hpp
@@ -20,6 +20,7 @@
     bool fails = false;                     // answers 500
     std::chrono::milliseconds run_time{5};  // delay of the answer
     std::chrono::milliseconds event_gap{0}; // between the events of a stream
+    std::size_t padding = 0;                // bytes at the end of its answers
 };
 
 struct api_call
