--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1473,6 +1473,13 @@
     time_point sampled_at{};
 };
 
+// A measured load of a pool, in endpoints that it keeps busy.
+struct load_sample
+{
+    time_point at{};
+    double load = 0;
+};
+
 // An order of endpoints of one kind in one availability zone.
 struct order_state
 {
@@ -1595,6 +1602,9 @@
     std::map<std::tuple<std::string, std::string, bool>, order_state>
         endpoint_orders;
     time_point fleet_planned_at{}; // last plan of the fleet
+    // By pool: the loads of the planned time, oldest first, without those that
+    // a later one exceeds.
+    std::map<std::string, std::deque<load_sample>> recent_loads;
     // Last refused order of reclaimable endpoints, by pool.
     std::map<std::string, time_point> reclaimable_refused_at;
     time_point log_restored_at{}; // when the log became reachable again
