Callers: memory that connections hold, and progress that they must make

Cause: only payload bytes of arriving requests were counted. Records of chunks of one byte, unread answers and connections that stop halfway took memory and places until timeouts of 60 s, and the peer port took bodies and messages of many megabytes from anybody. Change: the parser's callbacks count what is kept; chunk records and trailers are not. The first message at the peer port is short.

--- a/src/runtime/admin.cpp
+++ b/src/runtime/admin.cpp
@@ -1,5 +1,6 @@
 // Admin listener: state, metrics, health and explanations of decisions.
 #include "codec/json.hpp"
+#include "runtime/arriving_requests.hpp"
 #include "runtime/metrics.hpp"
 #include "runtime/node.hpp"
 
@@ -45,12 +46,24 @@
                : link_bytes{};
 }
 
-std::vector<connection_use> connections_of(node const& n)
+caller_use caller_use_of(node& n)
 {
     auto const peers = n.links ? n.links->open_connections() : 0;
-    return {{"callers", *n.open_callers, n.limits.callers},
-            {"endpoints", n.client.limited_connections(), n.limits.endpoints},
-            {"peers", peers, n.limits.peers}};
+    auto const arriving = arriving_requests::of(n.io);
+    caller_use out;
+    out.connections = {
+        {"callers", *n.open_callers, n.limits.callers},
+        {"endpoints", n.client.limited_connections(), n.limits.endpoints},
+        {"peers", peers, n.limits.peers}};
+    out.memory = {
+        {"arriving", arriving->bytes(), arriving->max_bytes},
+        {"unwritten", arriving->unwritten(), arriving->max_unwritten}};
+    std::ranges::transform(close_reason_names, arriving->closed,
+                           std::back_inserter(out.closed),
+                           [](char const* name, std::uint64_t count) {
+                               return std::pair(name, count);
+                           });
+    return out;
 }
 
 std::string explain(core::node_state const& s, std::string const& subject)
@@ -75,7 +88,7 @@
         send_text(out, 200, json_type, codec::state_to_json(s));
     else if (in.path == "/metrics")
         send_text(out, 200, "text/plain; version=0.0.4",
-                  metrics_text(s, link_bytes_of(n), connections_of(n)));
+                  metrics_text(s, link_bytes_of(n), caller_use_of(n)));
     else if (in.path == "/healthz")
         send_text(out, 200, "text/plain", "ok\n");
     else if (in.path == "/readyz")
--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -10,6 +10,13 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+using clock = request_reader::clock;
+
+// A caller that waits between two requests, or reads in steps, is not closed
+// for a new one before this time.
+constexpr auto min_pause = 1'000ms;
+
 struct arriving_service : asio::execution_context::service
 {
     using key_type = arriving_service;
@@ -24,17 +31,91 @@
 
 asio::execution_context::id arriving_service::id;
 
+// Bytes times milliseconds: a caller that sends or reads at full speed holds
+// much for a short time.
+double burden(std::size_t bytes, clock::duration time)
+{
+    return static_cast<double>(bytes) *
+           std::chrono::duration<double, std::milli>(time).count();
+}
+
+int event_of(close_reason it)
+{
+    switch (it) {
+    case close_reason::arriving_memory:
+        return events::arriving_request_closed;
+    case close_reason::slow_head:
+        return events::slow_head_closed;
+    case close_reason::slow_body:
+        return events::slow_body_closed;
+    case close_reason::slow_reader:
+        return events::slow_reader_closed;
+    case close_reason::answer_memory:
+        return events::unread_answer_closed;
+    case close_reason::idle:
+        return events::idle_connection_closed;
+    case close_reason::room:
+        break;
+    }
+    return events::connection_replaced;
+}
+
+// How readily a connection makes place for a new one; 0: not at all.
+int place_rank(request_reader const& it, clock::time_point now)
+{
+    if (it.open_request.expired()) {
+        if (!it.served)
+            return 3;
+        return it.idle_time(now) >= min_pause ? 2 : 0;
+    }
+    return it.out.active && now >= it.out.progress + min_pause ? 1 : 0;
+}
+
 } // namespace
 
+thread_local request_reader* arriving_requests::current = nullptr;
+
+void byte_flow::start(clock::time_point now)
+{
+    if (active)
+        return;
+    active = true;
+    bytes = 0;
+    window = progress = now;
+}
+
+void byte_flow::add(std::size_t n, clock::time_point now)
+{
+    bytes += n;
+    if (n != 0)
+        progress = now;
+}
+
+bool byte_flow::is_slow(std::chrono::milliseconds time, std::size_t min_rate,
+                        clock::time_point now)
+{
+    if (!active || now < window + time)
+        return false;
+    auto const least = static_cast<double>(min_rate) *
+                       std::chrono::duration<double>(now - window).count();
+    bool const slow =
+        now >= progress + time || static_cast<double>(bytes) < least;
+    window = now;
+    bytes = 0;
+    return slow;
+}
+
 std::shared_ptr<arriving_requests>
 arriving_requests::of(asio::execution_context& context)
 {
     return asio::use_service<arriving_service>(context).all;
 }
 
-request_reader::request_reader(std::shared_ptr<arriving_requests> it)
-    : all(std::move(it))
+request_reader::request_reader(std::shared_ptr<arriving_requests> it,
+                               std::shared_ptr<progress_rules const> of)
+    : all(std::move(it)), rules(std::move(of))
 {
+    in.progress = out.progress = created;
     all->readers_.insert(this);
 }
 
@@ -44,43 +125,193 @@
     all->bytes_ -= bytes;
 }
 
-void arriving_requests::add(request_reader& it, std::size_t bytes)
+clock::duration request_reader::idle_time(clock::time_point now) const
+{
+    return now - std::max(in.progress, out.progress);
+}
+
+bool request_reader::is_idle() const
+{
+    return !in.active && open_request.expired();
+}
+
+void request_reader::arrive(std::size_t taken)
+{
+    if (!in.active) {
+        began = clock::now();
+        in.start(began);
+    }
+    bytes += taken;
+    all->bytes_ += taken;
+}
+
+void arriving_requests::release(request_reader& it)
+{
+    bytes_ -= std::exchange(it.bytes, 0);
+}
+
+void arriving_requests::make_arriving_room()
 {
-    it.bytes += bytes;
-    bytes_ += bytes;
+    auto const now = clock::now();
     // A connection without an open request loses nothing that was accepted.
-    auto const rank = [](auto const* n) {
+    auto const rank = [now](auto const* n) {
         return std::tuple(!n->given_up && n->bytes != 0,
-                          n->open_request.expired(), n->bytes);
+                          n->open_request.expired(),
+                          burden(n->bytes, now - n->began));
     };
     while (bytes_ > max_bytes) {
         auto* const largest = *std::ranges::max_element(readers_, {}, rank);
         if (largest->given_up || largest->bytes == 0)
             return;
-        give_up(*largest);
+        give_up(*largest, close_reason::arriving_memory);
+    }
+}
+
+std::shared_ptr<void>
+arriving_requests::hold_answer(request_reader_ptr const& it, std::size_t bytes)
+{
+    it->unwritten += bytes;
+    unwritten_ += bytes;
+    auto const now = clock::now();
+    auto const rank = [&](auto const* n) {
+        return n == it.get() || n->given_up || !n->out.active
+                   ? 0
+                   : burden(n->unwritten, now - n->out.progress);
+    };
+    // Closing a connection frees what it holds later.
+    for (auto over = unwritten_; over > max_unwritten;) {
+        auto* const largest = *std::ranges::max_element(readers_, {}, rank);
+        if (rank(largest) <= 0)
+            break;
+        over -= std::min(over, largest->unwritten);
+        give_up(*largest, close_reason::answer_memory);
+    }
+    return {nullptr, [it, bytes](void*) {
+                it->unwritten -= bytes;
+                it->all->unwritten_ -= bytes;
+            }};
+}
+
+bool arriving_requests::make_place(progress_rules const& of,
+                                   std::size_t max_closing)
+{
+    auto const now = clock::now();
+    auto const is_closing = [&](auto const* it) {
+        return it->rules.get() == &of && it->given_up && it->socket != nullptr;
+    };
+    auto const rank = [&](auto const* it) {
+        auto const out =
+            it->rules.get() == &of && !it->given_up && it->socket != nullptr
+                ? place_rank(*it, now)
+                : 0;
+        return std::tuple(out,
+                          out == 3 ? now - it->created : it->idle_time(now));
+    };
+    if (readers_.empty() || static_cast<std::size_t>(std::ranges::count_if(
+                                readers_, is_closing)) > max_closing)
+        return false;
+    auto* const it = *std::ranges::max_element(readers_, {}, rank);
+    if (std::get<0>(rank(it)) == 0)
+        return false;
+    give_up(*it, close_reason::room);
+    return true;
+}
+
+void arriving_requests::close_slow(progress_rules const& of)
+{
+    auto const now = clock::now();
+    for (auto* const it : readers_) {
+        if (it->rules.get() != &of || it->given_up || it->socket == nullptr)
+            continue;
+        if (it->out.is_slow(of.write_timeout, of.min_rate, now))
+            give_up(*it, close_reason::slow_reader);
+        else if (!it->open_request.expired())
+            continue; // its answer is not ready
+        else if (it->in.active && !it->head_read &&
+                 now >= it->began + of.header_timeout)
+            give_up(*it, close_reason::slow_head);
+        else if (it->in.is_slow(of.idle_timeout, of.min_rate, now))
+            give_up(*it, close_reason::slow_body);
+        else if (it->is_idle() && it->idle_time(now) >= of.idle_timeout)
+            give_up(*it, close_reason::idle);
     }
 }
 
-// RESTinio frees what it has read when it closes the connection, which it does
-// on an error of the read.
-void arriving_requests::give_up(request_reader& it)
+// RESTinio frees what it holds when it closes the connection, which it does on
+// an error of the read or write. The read that is cancelled is answered 503;
+// that connections make place, or are idle, is no answer to a request.
+void arriving_requests::give_up(request_reader& it, close_reason why)
 {
-    write_log({events::arriving_request_closed, "", "",
+    write_log({event_of(why), "", "",
                std::to_string(it.bytes) + " of " + std::to_string(bytes_) +
-                   " bytes that arrive"});
+                   " bytes that arrive, " + std::to_string(it.unwritten) +
+                   " of " + std::to_string(unwritten_) + " not yet written"});
+    ++closed.at(static_cast<std::size_t>(why));
     it.given_up = true;
     bytes_ -= std::exchange(it.bytes, 0);
-    it.stop.emit(asio::cancellation_type::terminal);
+    it.told_why = it.open_request.expired() && why != close_reason::room &&
+                  why != close_reason::idle;
+    std::error_code ec; // it may be closed
+    if (it.told_why)
+        it.stop.emit(asio::cancellation_type::terminal);
+    else if (it.socket != nullptr)
+        it.socket->shutdown(asio::ip::tcp::socket::shutdown_both, ec);
 }
 
 std::shared_ptr<void> arriving_requests::complete()
 {
     if (current == nullptr)
         return {};
-    bytes_ -= std::exchange(current->bytes, 0);
+    auto& it = *current;
+    bytes_ -= std::exchange(it.bytes, 0);
+    it.head_bytes = 0;
+    it.head_read = it.in.active = false;
+    it.served = true;
     auto out = std::make_shared<char>();
-    current->open_request = out;
+    it.open_request = out;
     return out;
 }
 
+void counted_socket::prepare()
+{
+    if (!reader_)
+        reader_ = std::make_shared<request_reader>(
+            arriving_requests::of(
+                asio::query(get_executor(), asio::execution::context)),
+            rules_);
+    reader_->socket = this;
+}
+
+// The connection stays with RESTinio, which closes it without its socket.
+void counted_socket::refuse(request_reader& r)
+{
+    constexpr std::string_view why = "the request arrives too slowly, or "
+                                     "there is no room for it\n";
+    if (r.rules && r.rules->refuse)
+        r.rules->refuse(std::move(*this), why);
+    else
+        refuse_connection(std::move(*this), why);
+}
+
+void counted_socket::on_received(request_reader& r, std::size_t n)
+{
+    auto const now = clock::now();
+    r.arrive(0);
+    r.in.add(n, now);
+}
+
+// A connection that RESTinio has closed holds nothing.
+void counted_socket::after_read(request_reader& r)
+{
+    if (r.socket == nullptr || !r.socket->is_open())
+        r.all->release(r);
+    r.all->make_arriving_room();
+}
+
+void counted_socket::before_write(request_reader& r)
+{
+    ++r.writes;
+    r.out.start(clock::now());
+}
+
 } // namespace papayahook::runtime
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -1,100 +1,195 @@
-// Memory of requests that are still being read. RESTinio collects the body of a
-// request on each connection before anything can refuse it.
+// Connections of callers: the memory that each takes, and whether it makes
+// progress. RESTinio collects a request on each connection before anything can
+// refuse it, and keeps answers until their caller has read them.
 #pragma once
 
 #include "runtime/refused_connection.hpp"
 
+#include <array>
 #include <asio/bind_cancellation_slot.hpp>
 #include <asio/bind_executor.hpp>
 #include <asio/cancellation_signal.hpp>
 #include <asio/execution_context.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstddef>
+#include <functional>
 #include <limits>
 #include <memory>
 #include <set>
+#include <string>
 
 namespace papayahook::runtime {
 
 class arriving_requests;
+class counted_socket;
 
-// What a connection has received since its last whole request.
-struct request_reader
+// Why a connection was closed before its caller closed it.
+enum class close_reason
 {
-    explicit request_reader(std::shared_ptr<arriving_requests> it);
+    arriving_memory, // requests that arrive take too much
+    slow_head,
+    slow_body,
+    slow_reader,   // an answer is not read
+    answer_memory, // answers that are not read take too much
+    idle,
+    room, // for a new connection
+};
+inline constexpr std::array close_reason_names{
+    "arriving_memory", "slow_head", "slow_body", "slow_reader",
+    "answer_memory",   "idle",      "room"};
+
+// What a listener asks of its connections.
+struct progress_rules
+{
+    std::chrono::milliseconds header_timeout{5'000}; // of a whole head
+    std::chrono::milliseconds idle_timeout{60'000};
+    std::chrono::milliseconds write_timeout{30'000}; // without progress
+    std::size_t min_rate = 512; // bytes a second, of bodies and answers
+    // Answers 503 and closes; a refused connection takes a descriptor.
+    std::function<void(asio::ip::tcp::socket, std::string_view)> refuse;
+};
+
+// Bytes that pass in one direction while the other side is to move them.
+struct byte_flow
+{
+    using clock = std::chrono::steady_clock;
+
+    bool active = false;
+    std::size_t bytes = 0; // since `window`
+    clock::time_point window{};
+    clock::time_point progress{};
+
+    void start(clock::time_point now);
+    void add(std::size_t n, clock::time_point now);
+    // Whether nothing has moved for `time`, or less than the rate over it.
+    bool is_slow(std::chrono::milliseconds time, std::size_t min_rate,
+                 clock::time_point now);
+};
+
+// A connection of a caller.
+struct request_reader : std::enable_shared_from_this<request_reader>
+{
+    using clock = std::chrono::steady_clock;
+
+    request_reader(std::shared_ptr<arriving_requests> it,
+                   std::shared_ptr<progress_rules const> of);
     ~request_reader();
     request_reader(request_reader const&) = delete;
     request_reader& operator=(request_reader const&) = delete;
 
+    // Notes that a request arrives, which has taken this memory.
+    void arrive(std::size_t taken);
+    // Neither is a request arriving, nor one open.
+    bool is_idle() const;
+    clock::duration idle_time(clock::time_point now) const;
+
     std::shared_ptr<arriving_requests> all;
-    std::size_t bytes = 0;
+    std::shared_ptr<progress_rules const> rules; // null: none
+    counted_socket* socket = nullptr;            // while it exists
     bool given_up = false;
+    bool told_why = false; // a connection that is given up is answered 503
+    bool served = false;   // it has sent a whole request
+    clock::time_point created = clock::now();
     std::weak_ptr<void> open_request; // expired: none of the connection is open
     asio::cancellation_signal stop;   // of the pending read
+
+    // Of the request that arrives.
+    std::size_t bytes = 0; // memory that it takes
+    std::size_t head_bytes = 0;
+    bool head_read = false;
+    clock::time_point began{};
+    byte_flow in;
+
+    // Of the answers.
+    std::size_t unwritten = 0;
+    byte_flow out;
+    int writes = 0; // pending
 };
 using request_reader_ptr = std::shared_ptr<request_reader>;
 
-// The readers of all connections of an io_context. Connections that outlive the
-// io_context share it.
+// The connections of all servers of an io_context, which they may outlive.
 class arriving_requests
 {
 public:
     static std::shared_ptr<arriving_requests>
     of(asio::execution_context& context);
 
-    // Beyond this sum the connection with the most bytes is closed.
+    // Beyond this sum the connection that holds the most for the longest time
+    // is closed.
     std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t max_unwritten = std::numeric_limits<std::size_t>::max();
     std::size_t bytes() const { return bytes_; }
-
-    // Counts bytes that were read, and gives up readers that are too many.
-    void add(request_reader& it, std::size_t bytes);
+    std::size_t unwritten() const { return unwritten_; }
+    std::array<std::uint64_t, close_reason_names.size()> closed{};
+
+    // The memory of the request that arrives is free.
+    void release(request_reader& it);
+    // Gives up requests that are too many.
+    void make_arriving_room();
+    // Counts an answer until the result and its copies are destroyed.
+    std::shared_ptr<void> hold_answer(request_reader_ptr const& it,
+                                      std::size_t bytes);
+    // Closes the connection of a listener that has been without progress for
+    // the longest time. Returns false if there is none.
+    bool make_place(progress_rules const& of, std::size_t max_closing);
+    // Closes the connections of a listener that break its rules.
+    void close_slow(progress_rules const& of);
     // The connection whose read is being handled has a whole request, which is
     // open until the result and its copies are destroyed.
     std::shared_ptr<void> complete();
 
-    request_reader* current = nullptr; // its read is being handled
+    // The connection whose read or write is being handled on this thread.
+    static thread_local request_reader* current;
 
 private:
     friend struct request_reader;
 
-    void give_up(request_reader& it);
+    void give_up(request_reader& it, close_reason why);
 
     std::set<request_reader*> readers_;
     std::size_t bytes_ = 0;
+    std::size_t unwritten_ = 0;
 };
 
-// A socket whose reads are counted.
+// A socket whose reads and writes are counted.
 class counted_socket : public asio::ip::tcp::socket
 {
 public:
     using asio::ip::tcp::socket::basic_stream_socket;
-    counted_socket(asio::ip::tcp::socket&& it)
-        : asio::ip::tcp::socket(std::move(it))
+    counted_socket(asio::ip::tcp::socket&& it,
+                   std::shared_ptr<progress_rules const> rules = {})
+        : asio::ip::tcp::socket(std::move(it)), rules_(std::move(rules))
     {
     }
+    counted_socket(counted_socket&&) = default;
+    counted_socket& operator=(counted_socket&&) = default;
+    ~counted_socket()
+    {
+        if (reader_)
+            reader_->socket = nullptr;
+    }
 
     template <class Buffers, class Handler>
     void async_read_some(Buffers const& to, Handler handler)
     {
-        if (!reader_)
-            reader_ = std::make_shared<request_reader>(arriving_requests::of(
-                asio::query(get_executor(), asio::execution::context)));
+        prepare();
         auto const executor =
             asio::get_associated_executor(handler, get_executor());
         auto on_read = [this, r = reader_, handler = std::move(handler)](
                            std::error_code ec, std::size_t n) mutable {
-            if (!ec)
-                r->all->add(*r, n);
             if (r->given_up) {
                 ec = asio::error::no_buffer_space;
-                if (r->open_request.expired())
-                    refuse_connection(std::move(*this),
-                                      "too many requests arriving\n");
+                if (r->told_why && is_open())
+                    refuse(*r);
             }
-            r->all->current = r.get();
+            if (!ec)
+                on_received(*r, n);
+            arriving_requests::current = r.get();
             handler(ec, ec ? 0 : n);
-            r->all->current = nullptr;
+            arriving_requests::current = nullptr;
+            after_read(*r);
         };
         asio::ip::tcp::socket::async_read_some(
             to, asio::bind_cancellation_slot(
@@ -102,7 +197,37 @@
                     asio::bind_executor(executor, std::move(on_read))));
     }
 
+    // A handler taken by value could be moved before the buffers, which it
+    // owns, are read from it.
+    template <class Buffers, class Handler>
+    void async_write_some(Buffers const& from, Handler&& handler)
+    {
+        prepare();
+        auto const executor =
+            asio::get_associated_executor(handler, get_executor());
+        before_write(*reader_);
+        auto on_written = [r = reader_,
+                           handler = std::forward<Handler>(handler)](
+                              std::error_code ec, std::size_t n) mutable {
+            r->out.add(n, request_reader::clock::now());
+            --r->writes;
+            arriving_requests::current = r.get();
+            handler(ec, n);
+            arriving_requests::current = nullptr;
+            r->out.active = r->writes != 0;
+        };
+        asio::ip::tcp::socket::async_write_some(
+            from, asio::bind_executor(executor, std::move(on_written)));
+    }
+
 private:
+    void prepare();
+    void refuse(request_reader& r);
+    static void on_received(request_reader& r, std::size_t n);
+    static void after_read(request_reader& r);
+    static void before_write(request_reader& r);
+
+    std::shared_ptr<progress_rules const> rules_;
     // Set by the first read: RESTinio moves a socket before, and uses the one
     // it has moved from again.
     request_reader_ptr reader_;
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -139,7 +139,7 @@
 {
     parsed_request out;
     out.event.id = id;
-    out.event.body_bytes = in.body.size();
+    out.event.body_bytes = in.memory;
     if (auto const why = read_headers(in, out.event); !why.empty())
         return bad_request{400, why};
     out.event.body_digest =
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -7,6 +7,7 @@
 #include "runtime/refused_connection.hpp"
 
 #include <algorithm>
+#include <asio/steady_timer.hpp>
 #include <cctype>
 #include <list>
 #include <optional>
@@ -22,9 +23,16 @@
 // open, so that a closed connection is noticed at once and not at the next
 // write.
 constexpr std::size_t max_pipelined_requests = 2;
-// Practically no limit: the core enforces deadlines.
-constexpr std::chrono::hours handler_time_limit{24};
+// Practically no limit: the core enforces deadlines, and progress_rules what
+// callers must do.
+constexpr std::chrono::hours no_time_limit{24};
+constexpr std::chrono::milliseconds progress_check_period{250};
+// Memory of a head that counts as that of its connection.
+constexpr std::size_t usual_head_memory = 8 * 1024;
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
+// The kernel would take megabytes of answers that a caller does not read, so
+// that requests sent ahead would go on being served.
+constexpr int send_buffer_bytes = 64 * 1024;
 
 // Counts the open connections, and reports those that are closed.
 struct state_listener
@@ -63,16 +71,113 @@
 // Counts a write until the returned object and its copies are destroyed, which
 // is the case after the write, or when its connection is closed. A write
 // without a body has a head or an end.
-std::shared_ptr<void> count_write(write_counter const& n, std::size_t bytes = 0)
+std::shared_ptr<void> count_write(write_counter const& n,
+                                  request_reader_ptr const& connection,
+                                  std::size_t bytes = 0)
 {
-    if (!n)
-        return {};
-    *n += bytes + 1;
-    return {nullptr, [n, bytes](void*) {
-                *n -= bytes + 1;
+    auto held = connection ? connection->all->hold_answer(connection, bytes + 1)
+                           : std::shared_ptr<void>{};
+    if (n)
+        *n += bytes + 1;
+    return {nullptr, [n, bytes, held = std::move(held)](void*) {
+                if (n)
+                    *n -= bytes + 1;
             }};
 }
 
+using parser_context = restinio::impl::http_parser_ctx_t;
+
+parser_context& context_of(http_parser* it)
+{
+    return *static_cast<parser_context*>(it->data);
+}
+
+// Counts what the parser keeps of the request that arrives.
+void count_kept(std::size_t bytes)
+{
+    if (auto* const it = arriving_requests::current)
+        it->arrive(bytes);
+}
+
+// Returns an error of the parser if the fields of a head, or of a trailer, are
+// longer than allowed.
+int count_field_bytes(parser_context const& in, std::size_t bytes)
+{
+    auto* const it = arriving_requests::current;
+    if (it == nullptr)
+        return 0;
+    it->head_bytes += bytes;
+    return it->head_bytes > in.m_limits.max_field_value_size() ? -1 : 0;
+}
+
+int on_url(http_parser* it, char const* at, std::size_t n)
+{
+    count_kept(n);
+    return restinio::impl::restinio_url_cb(it, at, n);
+}
+
+// Nobody reads trailers, so they are not kept.
+int on_field_name(http_parser* it, char const* at, std::size_t n)
+{
+    auto const& in = context_of(it);
+    if (count_field_bytes(in, n) != 0)
+        return -1;
+    if (in.m_leading_headers_completed)
+        return 0;
+    count_kept(n);
+    return restinio::impl::restinio_header_field_cb(it, at, n);
+}
+
+int on_field_value(http_parser* it, char const* at, std::size_t n)
+{
+    auto const& in = context_of(it);
+    if (count_field_bytes(in, n) != 0)
+        return -1;
+    if (in.m_leading_headers_completed)
+        return 0;
+    // The list of fields grows by doubling.
+    bool const is_first_part = !in.m_last_was_value;
+    count_kept(n +
+               (is_first_part ? 2 * sizeof(restinio::http_header_field_t) : 0));
+    return restinio::impl::restinio_header_value_cb(it, at, n);
+}
+
+int on_head_end(http_parser* it)
+{
+    count_kept(0);
+    if (auto* const r = arriving_requests::current) {
+        r->head_bytes = 0;
+        r->head_read = true;
+    }
+    return restinio::impl::restinio_headers_complete_cb(it);
+}
+
+int on_body(http_parser* it, char const* at, std::size_t n)
+{
+    count_kept(n);
+    return restinio::impl::restinio_body_cb(it, at, n);
+}
+
+// RESTinio keeps a record of each chunk, which for chunks of one byte takes
+// many times the memory of the body. Nobody reads these records.
+int on_chunk(http_parser*)
+{
+    return 0;
+}
+
+http_parser_settings parser_settings()
+{
+    auto out =
+        restinio::impl::create_parser_settings<traits::http_methods_mapper_t>();
+    out.on_url = on_url;
+    out.on_header_field = on_field_name;
+    out.on_header_value = on_field_value;
+    out.on_headers_complete = on_head_end;
+    out.on_body = on_body;
+    out.on_chunk_header = on_chunk;
+    return out;
+}
+
 class responder final : public http_responder
 {
 public:
@@ -81,6 +186,8 @@
         : request_(std::move(request)), unwritten_(std::move(unwritten)),
           open_(std::move(open))
     {
+        if (auto* const it = arriving_requests::current)
+            counted_in_ = it->shared_from_this();
     }
 
     // An answer that cannot be sent closes its connection: its caller must not
@@ -117,7 +224,7 @@
     {
         if (!stream_)
             return;
-        auto counted = count_write(unwritten_, data.size());
+        auto counted = count_write(unwritten_, counted_in_, data.size());
         stream_->append_chunk(std::move(data));
         stream_->flush([on_written = std::move(on_written),
                         counted = std::move(counted)](auto const& ec) {
@@ -130,8 +237,8 @@
     {
         if (!stream_)
             return;
-        stream_->done(
-            [counted = count_write(unwritten_), open = open_](auto const&) {});
+        stream_->done([counted = count_write(unwritten_, counted_in_),
+                       open = open_](auto const&) {});
         stream_.reset();
     }
 
@@ -153,7 +260,7 @@
             response.append_header(name, value);
         if (closes_)
             response.connection_close();
-        auto counted = count_write(unwritten_, body.size());
+        auto counted = count_write(unwritten_, counted_in_, body.size());
         response.set_body(std::move(body));
         response.done(
             [counted = std::move(counted), open = open_](auto const&) {});
@@ -201,6 +308,7 @@
 
     restinio::request_handle_t request_;
     write_counter unwritten_;
+    request_reader_ptr counted_in_;
     restinio::impl::connection_handle_t connection_; // while streaming
     std::optional<stream> stream_;
     std::shared_ptr<void> open_; // see arriving_requests::complete()
@@ -219,9 +327,13 @@
     out.body =
         shared_text(std::shared_ptr<std::string const>(request, &in.body()));
     out.connection_id = in.connection_id();
+    std::size_t head = 0;
     in.header().for_each_field([&](auto const& field) {
         out.headers.emplace_back(field.name(), field.value());
+        head += 2 * (field.name().size() + field.value().size() + sizeof field +
+                     sizeof out.headers.back());
     });
+    out.memory = out.body.size() + head - std::min(head, usual_head_memory);
     return out;
 }
 
@@ -286,8 +398,18 @@
 struct http_server::impl
 {
     void on_accepted(tcp::socket socket);
-    void refuse_caller(tcp::socket socket);
+    void refuse_caller(tcp::socket socket, std::string_view why);
+    void check_progress();
 
+    explicit impl(asio::io_context& io)
+        : arriving(arriving_requests::of(io)), progress_timer(io)
+    {
+    }
+
+    std::shared_ptr<arriving_requests> arriving;
+    std::shared_ptr<progress_rules> rules = std::make_shared<progress_rules>();
+    asio::steady_timer progress_timer;
+    bool stopped = false;
     std::size_t max_connections = 0;
     std::shared_ptr<state_listener> listener =
         std::make_shared<state_listener>();
@@ -302,16 +424,23 @@
     auto const caller = socket.remote_endpoint(ec);
     if (ec)
         return; // reset meanwhile
-    if (*listener->open >= max_connections) {
-        refuse_caller(std::move(socket));
+    if (*listener->open >= max_connections &&
+        !arriving->make_place(*rules,
+                              max_connections / connections_per_refusal)) {
+        refuse_caller(std::move(socket), "too many connections\n");
         return;
     }
-    socket.set_option(tcp::no_delay(true), ec); // ignored: only a speed-up
-    factory->create_new_connection(std::move(socket), caller, {nullptr})
+    // Errors are ignored: without the options it works, too.
+    socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes),
+                      ec);
+    factory
+        ->create_new_connection(counted_socket(std::move(socket), rules),
+                                caller, {nullptr})
         ->init();
 }
 
-void http_server::impl::refuse_caller(tcp::socket socket)
+void http_server::impl::refuse_caller(tcp::socket socket, std::string_view why)
 {
     std::erase_if(refused, [](auto const& it) { return it.expired(); });
     if (refused.size() > max_connections / connections_per_refusal) {
@@ -319,16 +448,36 @@
             oldest->close();
         refused.pop_front();
     }
-    refused.push_back(
-        refuse_connection(std::move(socket), "too many connections\n"));
+    refused.push_back(refuse_connection(std::move(socket), why));
+}
+
+void http_server::impl::check_progress()
+{
+    arriving->close_slow(*rules);
+    if (stopped && *listener->open == 0)
+        return;
+    progress_timer.expires_after(progress_check_period);
+    progress_timer.async_wait([this](auto ec) {
+        if (!ec)
+            check_progress();
+    });
 }
 
 http_server::http_server(asio::io_context& io,
                          http_server_options const& options, handler on_request)
-    : impl_(std::make_unique<impl>())
+    : impl_(std::make_unique<impl>(io))
 {
-    auto const arriving = arriving_requests::of(io);
+    auto const arriving = impl_->arriving;
     arriving->max_bytes = options.max_arriving_bytes;
+    arriving->max_unwritten = options.max_unwritten_bytes;
+    auto& rules = *impl_->rules;
+    rules.header_timeout = options.header_timeout;
+    rules.idle_timeout = options.idle_timeout;
+    rules.write_timeout = options.write_timeout;
+    rules.min_rate = options.min_rate;
+    rules.refuse = [it = impl_.get()](auto socket, auto why) {
+        it->refuse_caller(std::move(socket), why);
+    };
     impl_->max_connections = options.max_connections;
     impl_->listener->on_close = options.on_close;
     impl_->listener->open = options.open_connections
@@ -343,9 +492,9 @@
     settings set;
     set.max_pipelined_requests(max_pipelined_requests)
         .buffer_size(read_buffer_bytes)
-        .handle_request_timeout(handler_time_limit)
-        .read_next_http_message_timelimit(options.idle_timeout)
-        .write_http_response_timelimit(options.write_timeout)
+        .handle_request_timeout(no_time_limit)
+        .read_next_http_message_timelimit(no_time_limit)
+        .write_http_response_timelimit(no_time_limit)
         .incoming_http_msg_limits(limits)
         .connection_state_listener(impl_->listener)
         .request_handler([on_request = std::move(on_request), arriving,
@@ -365,11 +514,7 @@
     auto const timers = set.timer_factory()->create(io);
     timers->start();
     impl_->factory = std::make_unique<connection_factory>(
-        std::make_shared<connection_settings>(
-            set,
-            restinio::impl::create_parser_settings<
-                traits::http_methods_mapper_t>(),
-            timers),
+        std::make_shared<connection_settings>(set, parser_settings(), timers),
         set.socket_options_setter());
     impl_->acceptor.emplace(
         io,
@@ -377,12 +522,18 @@
         [it = impl_.get()](auto socket) {
             it->on_accepted(std::move(socket));
         });
+    impl_->check_progress();
 }
 
-http_server::~http_server() = default;
+// Connections may outlive the server.
+http_server::~http_server()
+{
+    impl_->rules->refuse = nullptr;
+}
 
 void http_server::stop()
 {
+    impl_->stopped = true;
     impl_->acceptor->close();
 }
 
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -43,6 +43,7 @@
     std::string target; // path and query as received
     header_list headers;
     shared_text body;
+    std::size_t memory = 0;          // of the body, and of a head that is long
     std::uint64_t connection_id = 0; // see http_server_options::on_close
 };
 
@@ -75,11 +76,17 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
-    std::size_t max_header_bytes = 16 * 1024; // per field value or URL
-    std::size_t max_header_count = 64;
+    // Of the names and values of a head, of those of a trailer, and of a URL.
+    std::size_t max_header_bytes = 16 * 1024;
+    std::size_t max_header_count = 4096;
     std::size_t max_connections = 4096; // further ones are refused with 503
-    std::chrono::milliseconds idle_timeout{60'000};  // between requests
-    std::chrono::milliseconds write_timeout{30'000}; // per write
+    std::chrono::milliseconds header_timeout{5'000}; // for a whole head
+    // Between requests, and between bytes of a body.
+    std::chrono::milliseconds idle_timeout{60'000};
+    std::chrono::milliseconds write_timeout{30'000}; // without progress
+    // Bytes a second at which a body must arrive, over the idle timeout, and an
+    // answer must be read, over the write timeout.
+    std::size_t min_rate = 512;
     std::function<void(std::uint64_t connection_id)> on_close;
     // May be empty. Counts the bytes of answers that are not yet written;
     // several servers may share it.
@@ -87,9 +94,12 @@
     // May be empty. Counts the open connections; several servers that share it
     // share max_connections.
     std::shared_ptr<std::size_t> open_connections;
-    // Bytes of requests that are still arriving, at all servers of the same
-    // io_context. Beyond it the longest one is refused.
+    // Memory of requests that are still arriving, and bytes of answers that
+    // their callers have not read, at all servers of the same io_context.
+    // Beyond them the connection that holds the most for the longest time is
+    // closed.
     std::size_t max_arriving_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t max_unwritten_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 class http_server
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -64,10 +64,21 @@
           static_cast<double>(core::quarantined_parts(s).size()));
 }
 
-void add_connections(prometheus::Registry& r,
-                     std::vector<connection_use> const& connections)
+void add_connections(prometheus::Registry& r, caller_use const& callers)
 {
-    for (auto const& it : connections) {
+    for (auto const& [reason, n] : callers.closed)
+        counter(r, "papayahook_closed_connections_total",
+                "Connections of callers that the node closed", n,
+                {{"reason", reason}});
+    for (auto const& it : callers.memory) {
+        gauge(r, "papayahook_caller_memory_bytes",
+              "Memory that connections of callers take, by kind",
+              static_cast<double>(it.bytes), {{"kind", it.kind}});
+        gauge(r, "papayahook_caller_memory_limit",
+              "Memory beyond which connections of callers are closed",
+              static_cast<double>(it.limit), {{"kind", it.kind}});
+    }
+    for (auto const& it : callers.connections) {
         gauge(r, "papayahook_open_connections", "Open connections by kind",
               static_cast<double>(it.open), {{"kind", it.kind}});
         gauge(r, "papayahook_connection_limit",
@@ -99,10 +110,10 @@
 } // namespace
 
 std::string metrics_text(core::node_state const& s, link_bytes links,
-                         std::vector<connection_use> const& connections)
+                         caller_use const& callers)
 {
     prometheus::Registry r;
-    add_connections(r, connections);
+    add_connections(r, callers);
     auto const& n = s.counts;
     counter(r, "papayahook_requests_total", "Requests received", n.requests);
     counter(r, "papayahook_answers_total", "Whole answers", n.answered);
--- a/src/runtime/metrics.hpp
+++ b/src/runtime/metrics.hpp
@@ -18,7 +18,22 @@
     std::size_t limit = 0;
 };
 
+struct memory_use
+{
+    char const* kind = "";
+    std::size_t bytes = 0;
+    std::size_t limit = 0;
+};
+
+// What the connections of callers take, and those that were closed.
+struct caller_use
+{
+    std::vector<connection_use> connections;
+    std::vector<memory_use> memory;
+    std::vector<std::pair<char const*, std::uint64_t>> closed; // by reason
+};
+
 std::string metrics_text(core::node_state const& s, link_bytes links,
-                         std::vector<connection_use> const& connections);
+                         caller_use const& callers);
 
 } // namespace papayahook::runtime
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -140,6 +140,8 @@
     };
     if (!run_guarded("peer message", accept))
         n.links->close(link);
+    else if (hello != nullptr)
+        n.links->accept_messages(link);
 }
 
 void perform(node& n, core::dial_peer const& it)
@@ -315,6 +317,9 @@
     http_server_options out;
     out.max_body_bytes = it.max_body_bytes;
     out.max_arriving_bytes = it.max_arriving_bytes;
+    out.max_unwritten_bytes = max_unwritten_bytes(it);
+    out.header_timeout = it.header_timeout;
+    out.min_rate = it.min_caller_rate;
     out.max_header_bytes = it.max_header_bytes;
     out.max_header_count = it.max_header_count;
     out.max_connections = n.limits.probes;
--- a/src/runtime/peer_links.cpp
+++ b/src/runtime/peer_links.cpp
@@ -23,6 +23,10 @@
 
 constexpr long open_timeout_ms = 1'500;
 constexpr std::size_t frame_overhead_bytes = 8;
+// Of a connection that has not yet shown to be a node's, which anybody may
+// open: its requests have no body, and its first message is short.
+constexpr std::size_t max_handshake_body = 1024;
+constexpr std::size_t max_first_message = 64UL * 1024;
 
 } // namespace
 
@@ -35,6 +39,7 @@
     std::map<link_id, connection_hdl> server_side;
     std::map<link_id, connection_hdl> client_side;
     std::size_t max_incoming = 0;
+    std::size_t max_message_bytes = 0;
     std::vector<connection_hdl> accepted; // also before they are links
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
@@ -109,7 +114,9 @@
     auto& it = *impl_;
     it.handlers = std::move(handlers);
     it.max_incoming = max_incoming;
-    it.prepare(it.incoming, io, max_message_bytes);
+    it.max_message_bytes = max_message_bytes;
+    it.prepare(it.incoming, io, std::min(max_message_bytes, max_first_message));
+    it.incoming.set_max_http_body_size(max_handshake_body);
     it.prepare(it.outgoing, io, max_message_bytes);
     // websocketpp copies the handlers into a connection when it creates it. The
     // validate handler is the first to receive the connection, so it sets the
@@ -160,6 +167,18 @@
     return id;
 }
 
+void peer_links::accept_messages(link_id link)
+{
+    auto& it = *impl_;
+    auto const found = it.server_side.find(link);
+    if (found == it.server_side.end())
+        return;
+    websocketpp::lib::error_code ec; // it may be closed
+    auto const con = it.incoming.get_con_from_hdl(found->second, ec);
+    if (con)
+        con->set_max_message_size(it.max_message_bytes);
+}
+
 void peer_links::send(link_id link, std::string const& message)
 {
     constexpr auto binary = websocketpp::frame::opcode::binary;
--- a/src/runtime/peer_links.hpp
+++ b/src/runtime/peer_links.hpp
@@ -29,6 +29,8 @@
     ~peer_links();
 
     link_id connect(std::string const& address); // "ip:port"
+    // Messages of a link that was accepted are short until this is called.
+    void accept_messages(link_id link);
     void send(link_id link, std::string const& message);
     void close(link_id link);
     std::size_t open_connections() const;
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -115,12 +115,17 @@
     read_count(it, "max_body_bytes", out.max_body_bytes, gigabyte);
     read_count(it, "max_header_bytes", out.max_header_bytes, million);
     read_count(it, "max_header_count", out.max_header_count, 10'000);
+    read_count(it, "min_caller_rate", out.min_caller_rate, million);
     read_count(it, "max_connections", out.max_connections, million);
     read_count(it, "max_peer_message_bytes", out.max_peer_message_bytes,
                gigabyte);
     read_count(it, "checkpoint_every", out.core.checkpoint_every, million);
     out.polls_per_second =
         it.number("polls_per_second", out.polls_per_second, 0.1, 1000);
+    constexpr std::int64_t max_megabytes = 1'000'000;
+    auto const mb = it.integer("memory_mb", 0, 0, max_megabytes);
+    if (mb != 0)
+        divide_memory(out, static_cast<std::size_t>(mb * million));
     it.finish();
 }
 
@@ -141,6 +146,7 @@
     read_time(it, "append_retry_ms", out.core.append_retry, 1h);
     read_time(it, "claim_horizon_s", out.core.claim_horizon, 24h * 30);
     read_time(it, "checkpoint_period_s", out.core.checkpoint_period, 24h);
+    read_time(it, "header_timeout_ms", out.header_timeout, 24h);
     read_time(it, "idle_timeout_ms", out.idle_timeout, 24h);
     read_time(it, "write_timeout_ms", out.write_timeout, 24h);
     read_time(it, "connect_timeout_ms", out.connect_timeout, 1h);
@@ -196,6 +202,18 @@
 // between requests, so more callers than calls are connected.
 constexpr std::size_t endpoint_percentage = 40;
 
+// Percentages of the memory of a process.
+constexpr std::size_t arriving_percentage = 10;
+constexpr std::size_t request_percentage = 20;
+// Taken twice, for answers that are held and for those that are on their way.
+constexpr std::size_t answer_percentage = 25;
+constexpr std::size_t min_answer_percentage = 10;
+// For the process itself, the connections and copies; where the memory is
+// small, the answers get less.
+constexpr std::size_t own_bytes = 24'000'000;
+// Answers that callers do not read leave the rest to those that arrive.
+constexpr std::size_t unwritten_percentage = 60;
+
 std::size_t descriptors_at_start()
 {
     rlimit it{};
@@ -221,6 +239,25 @@
     return out;
 }
 
+void divide_memory(settings& it, std::size_t bytes)
+{
+    auto const share = [bytes](std::size_t percentage) {
+        return bytes / 100 * percentage;
+    };
+    it.max_arriving_bytes = share(arriving_percentage);
+    it.core.max_request_bytes = share(request_percentage);
+    auto const rest = bytes - it.max_arriving_bytes - it.core.max_request_bytes;
+    it.max_answer_bytes =
+        std::clamp((rest - std::min(rest, own_bytes)) / 2,
+                   share(min_answer_percentage), share(answer_percentage));
+    it.core.max_held_bytes = it.max_answer_bytes;
+}
+
+std::size_t max_unwritten_bytes(settings const& it)
+{
+    return it.max_answer_bytes / 100 * unwritten_percentage;
+}
+
 settings read_settings(std::string const& file)
 {
     auto const parsed = codec::parse_toml(file);
@@ -272,6 +309,7 @@
         << "\nmax_body_bytes = " << it.max_body_bytes
         << "\nmax_header_bytes = " << it.max_header_bytes
         << "\nmax_header_count = " << it.max_header_count
+        << "\nmin_caller_rate = " << it.min_caller_rate
         << "\nmax_connections = " << it.max_connections
         << "\nmax_peer_message_bytes = " << it.max_peer_message_bytes
         << "\ncheckpoint_every = " << it.core.checkpoint_every
@@ -291,6 +329,7 @@
         << "\nappend_retry_ms = " << ms(it.core.append_retry)
         << "\nclaim_horizon_s = " << ms(it.core.claim_horizon) / 1000
         << "\ncheckpoint_period_s = " << ms(it.core.checkpoint_period) / 1000
+        << "\nheader_timeout_ms = " << ms(it.header_timeout)
         << "\nidle_timeout_ms = " << ms(it.idle_timeout)
         << "\nwrite_timeout_ms = " << ms(it.write_timeout)
         << "\nconnect_timeout_ms = " << ms(it.connect_timeout)
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -37,13 +37,16 @@
     // Bytes of all answers that are buffered or not yet written. Beyond it the
     // largest answer that is still arriving is given up.
     std::size_t max_answer_bytes = 64UL * 1024 * 1024;
-    // Bytes of all requests that are still arriving.
+    // Memory of all requests that are still arriving.
     std::size_t max_arriving_bytes = 64UL * 1024 * 1024;
-    std::size_t max_header_count = 64;
+    // As many as the shortest fields, "a:" and a line end, that fit a head.
+    std::size_t max_header_count = 4096;
+    std::size_t min_caller_rate = 512;  // see http_server_options::min_rate
     std::size_t max_connections = 4096; // of callers; see max_fds, too
     // Descriptors that the process may open; 0: its limit at the start.
     std::size_t max_fds = 0;
     std::size_t max_peer_message_bytes = 16 * 1024 * 1024;
+    std::chrono::milliseconds header_timeout{5'000};
     std::chrono::milliseconds idle_timeout{60'000};
     std::chrono::milliseconds write_timeout{30'000};
     std::chrono::milliseconds connect_timeout{500};
@@ -67,6 +70,12 @@
 
 connection_limits limits_of(settings const& it);
 
+// Divides the memory of a process, like its descriptors, into shares for what
+// callers make it hold.
+void divide_memory(settings& it, std::size_t bytes);
+// Of max_answer_bytes, for answers that callers have not read.
+std::size_t max_unwritten_bytes(settings const& it);
+
 // Reads the settings. Throws codec::config_error with file, line and key.
 settings read_settings(std::string const& file);
 
