Callers: those that send ahead make place for others

Cause: 60 connections with thousands of requests sent ahead keep all places of a listener, and the kernel takes megabytes of answers that they do not read, so that an ordinary request gets 503 for more than 10 s. A test serves the largest legal requests with the settings of the smallest instance.

--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -60,15 +60,22 @@
     return events::connection_replaced;
 }
 
-// How readily a connection makes place for a new one; 0: not at all.
-int place_rank(request_reader const& it, clock::time_point now)
+// How readily a connection makes place for a new one, and since when it could;
+// 0: not at all.
+std::pair<int, clock::duration> place_rank(request_reader const& it,
+                                           clock::time_point now)
 {
-    if (it.open_request.expired()) {
-        if (!it.served)
-            return 3;
-        return it.idle_time(now) >= min_pause ? 2 : 0;
-    }
-    return it.out.active && now >= it.out.progress + min_pause ? 1 : 0;
+    auto const after_pause = [now](int rank, clock::time_point since) {
+        return now >= since + min_pause ? std::pair(rank, now - since)
+                                        : std::pair(0, clock::duration{});
+    };
+    if (it.open_request.expired())
+        return it.served ? after_pause(2, now - it.idle_time(now))
+                         : std::pair(3, now - it.created);
+    if (it.sends_ahead)
+        return after_pause(1, it.ahead_since);
+    return it.out.active ? after_pause(1, it.out.progress)
+                         : std::pair(0, clock::duration{});
 }
 
 } // namespace
@@ -200,18 +207,16 @@
         return it->rules.get() == &of && it->given_up && it->socket != nullptr;
     };
     auto const rank = [&](auto const* it) {
-        auto const out =
-            it->rules.get() == &of && !it->given_up && it->socket != nullptr
-                ? place_rank(*it, now)
-                : 0;
-        return std::tuple(out,
-                          out == 3 ? now - it->created : it->idle_time(now));
+        bool const may_close =
+            it->rules.get() == &of && !it->given_up && it->socket != nullptr;
+        return may_close ? place_rank(*it, now)
+                         : std::pair(0, clock::duration{});
     };
     if (readers_.empty() || static_cast<std::size_t>(std::ranges::count_if(
                                 readers_, is_closing)) > max_closing)
         return false;
     auto* const it = *std::ranges::max_element(readers_, {}, rank);
-    if (std::get<0>(rank(it)) == 0)
+    if (rank(it).first == 0)
         return false;
     give_up(*it, close_reason::room);
     return true;
@@ -267,6 +272,10 @@
     it.head_bytes = 0;
     it.head_read = it.in.active = false;
     it.served = true;
+    bool const ahead = !it.open_request.expired();
+    if (ahead && !it.sends_ahead)
+        it.ahead_since = clock::now();
+    it.sends_ahead = ahead;
     auto out = std::make_shared<char>();
     it.open_request = out;
     return out;
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -91,6 +91,9 @@
     bool given_up = false;
     bool told_why = false; // a connection that is given up is answered 503
     bool served = false;   // it has sent a whole request
+    // It sends requests before it has the answers to earlier ones, since then.
+    bool sends_ahead = false;
+    clock::time_point ahead_since{};
     clock::time_point created = clock::now();
     std::weak_ptr<void> open_request; // expired: none of the connection is open
     asio::cancellation_signal stop;   // of the pending read
--- a/test/hostile_callers_test.cpp
+++ b/test/hostile_callers_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -176,6 +177,17 @@
     std::array<char, 64 * 1024> buf_{};
 };
 
+std::string read_all(tcp::socket& from)
+{
+    std::string out;
+    std::array<char, 4096> buf{};
+    for (std::error_code ec; !ec;) {
+        auto const n = from.read_some(asio::buffer(buf), ec);
+        out.append(buf.data(), n);
+    }
+    return out;
+}
+
 std::size_t open_descriptors(pid_t pid)
 {
     namespace fs = std::filesystem;
@@ -205,16 +217,16 @@
 // A node with few descriptors and little memory.
 struct small_node
 {
-    small_node()
+    explicit small_node(std::string const& limits =
+                            "limits.memory_mb=" + std::to_string(memory_mb) +
+                            "\nlimits.max_fds=" + std::to_string(max_fds))
     {
         fake.put(wire::operator_topic, wire::configuration_key, routes);
         fake.add_runner({"i-1", "app"});
         auto const ports = free_port();
         peer = "127.0.0.1:" + std::to_string(ports);
         node = settings_of_node("n1", fake, ports);
-        std::ofstream(node.settings, std::ios::app)
-            << "limits.memory_mb=" << memory_mb
-            << "\nlimits.max_fds=" << max_fds << '\n';
+        std::ofstream(node.settings, std::ios::app) << limits << '\n';
         start(node);
         REQUIRE(eventually(20s, [&] { return is_ready(node); }));
     }
@@ -454,6 +466,47 @@
                        "x", 4 * megabyte});
 }
 
+// Guards against limits that a caller within the limits of the configuration
+// reaches.
+TEST_CASE("the largest legal requests are served by the smallest instance")
+{
+    small_node s("limits.memory_mb=120\nlimits.max_fds=3075\n"
+                 "limits.cores=0.09");
+    auto post = request(s.node, "/p/x", "largest");
+    post.method = "POST";
+    post.body.assign(4'194'304, 'x');
+    CHECK(run_call(post).status == 200);
+
+    std::string head = head_of("GET", "/p/x", "Connection: close\r\n");
+    constexpr std::size_t max_head = 16'384;
+    while (head.size() + 7 <= max_head)
+        head += "a:b\r\n";
+    head += "\r\n";
+    asio::io_context io;
+    tcp::socket caller(io);
+    caller.connect(endpoint_of(s.node.front));
+    asio::write(caller, asio::buffer(head));
+    CHECK(read_all(caller).starts_with("HTTP/1.1 200 "));
+
+    constexpr int events = 4'000;
+    std::string stream;
+    for (int n = 1; n <= events; ++n)
+        stream += "id: " + std::to_string(n) +
+                  "\ndata: " + std::string(1'000, 'x') + "\n\n";
+    raw_runners const runners(
+        s.fake, "flood", {"i-3"},
+        {"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: " +
+         std::to_string(stream.size()) +
+         "\r\nContent-Type: text/event-stream\r\n\r\n" + stream});
+    call_outcome answer;
+    CHECK(eventually(answer_limit, [&] {
+        answer = run_call(request(s.node, "/flood/x", "long"));
+        return answer.status == 200;
+    }));
+    CHECK_FALSE(answer.broken);
+    CHECK(answer.body.size() == stream.size());
+}
+
 TEST_CASE("crowds at a papayahookd")
 {
     constexpr std::size_t max_body = 65'536;
