Callers: a connection that has just come is not replaced

Cause: a connection that had sent nothing made place for the next one at once, so that callers beyond the limit of a listener were no longer refused: a case of test_accept failed. Change: it makes place after a second, like the other kinds.

--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -13,8 +13,8 @@
 using namespace std::chrono_literals;
 using clock = request_reader::clock;
 
-// A caller that waits between two requests, or reads in steps, is not closed
-// for a new one before this time.
+// A caller that has just come, waits between two requests or reads in steps is
+// not closed for a new one before this time.
 constexpr auto min_pause = 1'000ms;
 
 struct arriving_service : asio::execution_context::service
@@ -71,7 +71,7 @@
     };
     if (it.open_request.expired())
         return it.served ? after_pause(2, now - it.idle_time(now))
-                         : std::pair(3, now - it.created);
+                         : after_pause(3, it.created);
     if (it.sends_ahead)
         return after_pause(1, it.ahead_since);
     return it.out.active ? after_pause(1, it.out.progress)
