Callers: a connection that is given up is closed once

Cause: shutting a socket down fails its read and its write, and RESTinio closes the connection for each, so that the number of open ones fell below zero and all places seemed to be taken: a case of test_platform_processes failed. Change: an operation that ends after the connection was closed is reported as aborted, which RESTinio ignores.

--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -182,9 +182,13 @@
             asio::get_associated_executor(handler, get_executor());
         auto on_read = [this, r = reader_, handler = std::move(handler)](
                            std::error_code ec, std::size_t n) mutable {
-            if (r->given_up) {
+            // RESTinio counts a connection that fails after it was closed as
+            // closed twice.
+            if (!is_open())
+                ec = asio::error::operation_aborted;
+            else if (r->given_up) {
                 ec = asio::error::no_buffer_space;
-                if (r->told_why && is_open())
+                if (r->told_why)
                     refuse(*r);
             }
             if (!ec)
@@ -209,11 +213,13 @@
         auto const executor =
             asio::get_associated_executor(handler, get_executor());
         before_write(*reader_);
-        auto on_written = [r = reader_,
+        auto on_written = [this, r = reader_,
                            handler = std::forward<Handler>(handler)](
                               std::error_code ec, std::size_t n) mutable {
             r->out.add(n, request_reader::clock::now());
             --r->writes;
+            if (!is_open())
+                ec = asio::error::operation_aborted;
             arriving_requests::current = r.get();
             handler(ec, n);
             arriving_requests::current = nullptr;
