--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -225,8 +225,26 @@
            });
 }
 
-// From the shortest target of the pool's routes, and the time until the first
-// token of the prompts that did not wait.
+// Returns the mean time to the first token at the pool's endpoints; zero if
+// none is known.
+std::chrono::duration<double> mean_first_token(node_state const& s,
+                                               std::string const& pool)
+{
+    double sum = 0;
+    int n = 0;
+    for (auto const& [name, known] : s.endpoints) {
+        auto const it = s.config.endpoints.find(name);
+        bool const counts = it != s.config.endpoints.end() &&
+                            it->second.value.pool == pool &&
+                            known.first_token_us > 0;
+        sum += counts ? known.first_token_us : 0;
+        n += counts ? 1 : 0;
+    }
+    return std::chrono::duration<double>(n == 0 ? 0 : seconds_per_us * sum / n);
+}
+
+// From the shortest target of the pool's routes, and the mean time until the
+// first token.
 patience patience_of(node_state const& s, std::string const& pool)
 {
     using seconds = std::chrono::duration<double>;
@@ -234,11 +252,9 @@
     for (auto const& [name, it] : s.config.routes)
         if (uses_pool(it.value, pool) && it.value.first_byte_target > 0ms)
             target = std::min<seconds>(target, it.value.first_byte_target);
-    auto const fit = s.prefill_fits.find(pool);
-    bool const known = fit != s.prefill_fits.end() && fit->second.weight > 0;
+    auto const first_token = mean_first_token(s, pool);
     double const service =
-        known ? seconds_per_us * fit->second.us / fit->second.weight
-              : target.count() / 2;
+        first_token > 0s ? first_token.count() : target.count() / 2;
     // Requests that take longer than their target are late anyway.
     return {std::max(target.count() - service, target.count() / 4),
             std::max(service, 1e-3)};
