--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -689,7 +689,7 @@
     std::chrono::milliseconds hop_cost{2};
     // Requests use endpoints of their node's zone while these meet their
     // targets; false: zones differ only by `hop_cost`.
-    bool prefers_own_zone = true;
+    bool prefers_own_zone = false;
     // Cost of each KiB of a body that is sent to another zone, as the time that
     // a caller may wait longer to avoid it. Default: bytes cost nothing.
     std::chrono::microseconds hop_cost_per_kib{0};
--- a/src/core/spill.cpp
+++ b/src/core/spill.cpp
@@ -21,11 +21,12 @@
 // A zone with fewer endpoints cannot absorb clumps of requests by itself.
 constexpr int min_zone_endpoints = 3;
 constexpr double wait_smoothing = 0.3; // weight of a new sample
-// Fractions of the target that may be spent on waiting for an endpoint: above
-// the first one requests begin to leave, below the second one they return. The
-// rest of the target is for reading the prompt and for stalls.
-constexpr double leave_fraction = 0.25;
-constexpr double return_fraction = 0.125;
+// Fractions of the target that the mean wait may take: above the first one
+// requests begin to leave, below the second one they return. 95 of 100 waits
+// are shorter than three times the mean, which is then half of the target; the
+// other half is for reading the prompt and for stalls.
+constexpr double leave_fraction = 1.0 / 6;
+constexpr double return_fraction = 1.0 / 12;
 // Largest change of the share per plan, below what the figures' age allows.
 constexpr double share_step = 0.1;
 constexpr double max_utilisation = 0.99;
