--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -182,7 +182,7 @@
     bool streams = false;              // answers with server-sent events
     bool resumable = false; // a stream may continue at another endpoint
     int max_attempts = 0;   // calls per request; 0: node_settings decides
-    // Until the first byte; zero: node_settings::first_token_target.
+    // Until the first byte; zero: none. Not yet used.
     std::chrono::milliseconds first_byte_target{};
     // False: jobs, and other requests that are not repeatable and already sent
     // or claimed, continue after their caller has disconnected.
@@ -406,17 +406,6 @@
 // without calls and tokens are left out.
 using endpoint_loads = std::vector<std::pair<std::uint32_t, endpoint_load>>;
 
-// A time measured at an endpoint or in a pool, or what was learned from such
-// times; src/core/speeds.cpp tells the meaning of the two values.
-struct speed_figure
-{
-    std::uint32_t key = 0; // of an endpoint's incarnation or of a pool
-    std::int32_t first = 0;
-    std::int32_t second = 0;
-};
-
-using speed_figures = std::vector<speed_figure>;
-
 // Work of a pool, as a number of endpoints.
 struct pool_work
 {
@@ -457,9 +446,6 @@
     std::map<std::string, pool_work> work; // by pool
     endpoint_loads calls;
     usage_counts usage; // newest windows only
-    // Times measured since the last heartbeat, to hubs.
-    speed_figures speed_samples;
-    speed_figures speeds; // part of what hubs have learned, to their subtree
 };
 
 // Stated by a node that has no registry state yet.
@@ -687,12 +673,6 @@
     std::chrono::milliseconds service_wait{1'000};
     // Cost of an endpoint in another zone.
     std::chrono::milliseconds hop_cost{2};
-    // Requests use endpoints of their node's zone while these meet their
-    // targets; false: zones differ only by `hop_cost`.
-    bool prefers_own_zone = false;
-    // Cost of each KiB of a body that is sent to another zone, as the time that
-    // a caller may wait longer to avoid it. Default: bytes cost nothing.
-    std::chrono::microseconds hop_cost_per_kib{0};
     // Time per prompt token, assumed until a value is learned from answers.
     std::chrono::microseconds prefill_per_token{100};
     // How long an endpoint gets no calls after failures.
@@ -1375,11 +1355,6 @@
     time_point answering_since{};
     int prefill_tokens = 0; // of the open call, until its first token
     int prefill_ahead = 0;  // tokens pending at the endpoint at call_started
-    // The endpoint is assumed to have the shared prefix because of calls of
-    // other nodes.
-    bool assumes_prefix = false;
-    time_point chunk_at{}; // newest chunk of the open call
-    std::vector<duration> pauses; // between its chunks, not yet sampled
     time_point progress_at{};
     int status = 0;
     std::string content_type;
@@ -1462,6 +1437,9 @@
     // Lower bound of the difference of this node's clock to the peer's.
     std::optional<duration> clock_difference;
     bool is_informed = false; // was sent what it did not know
+    // Units per second, by organisation.
+    std::map<std::string, double> spend_rates;
+    time_point spend_rates_at{}; // arrival of the newest report of spending
     // Newest totals that the peer reported; empty: it reports increments.
     std::optional<std::map<std::string, double>> spent_totals;
     // Units that a peer in this node's subtree reported, by organisation.
@@ -1493,14 +1471,6 @@
     double requested = 0;        // units requested since sampled_at
     time_point refilled_at{};
     time_point sampled_at{};
-    // Units spent by all nodes within the newest quota_window, as far as known
-    // here: their sum, and the parts by the time at which they became known.
-    double window_spent = 0;
-    std::deque<std::pair<time_point, double>> window_parts;
-    // Units per second that the other nodes spend, moving average.
-    double others_rate = 0;
-    double others_spent = 0; // units reported since the last heartbeat
-    int demand_samples = 0;  // in `demand`
 };
 
 // The lease on the duties, and what its holder does.
@@ -1527,57 +1497,16 @@
     time_point report_not_before{}; // earliest time of the next call
 };
 
-// Newest times of one kind at an endpoint, or of the prompts of a pool.
-struct speed_sample
-{
-    double tokens = 0; // of prompts of a pool: at an endpoint of mean speed
-    double us = 0;
-    time_point at{};
-};
-
-struct speed_samples
-{
-    std::vector<speed_sample> newest; // ring
-    std::size_t next = 0;             // place of the next sample
-};
-
-// What is known of the speed of an endpoint's incarnation.
-struct learned_speed
+// Linear regression of the time to the first token over the prompt tokens,
+// from the newest samples. Time that does not depend on the prompt goes into
+// the intercept.
+struct prefill_fit
 {
-    double slowness = 1; // times, relative to the mean of the pool
-    int samples = 0;
-    time_point at{}; // when it was learned or arrived
-    // As last sent to this node's subtree.
-    double sent_slowness = 0;
-    time_point sent_at{};
-};
-
-// First token of a prompt that does not wait: the time that does not depend on
-// the prompt, and the time per token at an endpoint of mean speed.
-struct prefill_line
-{
-    double fixed_us = 0;
-    double us_per_token = 0;
-};
-
-// Speeds of endpoints, and what a node shares of them.
-struct speed_state
-{
-    // Hubs only; by the key of an incarnation and the kind of time, or by the
-    // key of a pool.
-    std::map<std::pair<std::uint32_t, int>, speed_samples> samples;
-    speed_figures unsent; // for the other hubs, or for the hub of this node
-    std::map<std::uint32_t, learned_speed> learned; // by key of an incarnation
-    std::map<std::string, prefill_line> prefill;    // by pool
-    std::uint32_t sent_up_to = 0; // key after which the next part begins
-    time_point learned_at{};      // when a hub last evaluated its samples
-};
-
-// Newest calls by prompt prefix, for the number of endpoints that hold one.
-struct prefix_demand
-{
-    std::map<std::uint64_t, double> calls; // by the key of the prefix
-    double total = 0;
+    double weight = 0;         // sum of the sample weights, which decay
+    double tokens = 0;         // weighted sum
+    double us = 0;             // weighted sum
+    double tokens_squared = 0; // weighted sum
+    double tokens_us = 0;      // weighted sum
 };
 
 // Endpoint time that the requests of a pool need.
@@ -1588,13 +1517,6 @@
     time_point sampled_at{};
 };
 
-// A measured load of a pool, in endpoints that it keeps busy.
-struct load_sample
-{
-    time_point at{};
-    double load = 0;
-};
-
 // An order of endpoints of one kind in one availability zone.
 struct order_state
 {
@@ -1605,38 +1527,6 @@
     time_point surplus_since{}; // since when fewer endpoints are enough
 };
 
-// Why a call goes to an endpoint of a zone.
-enum class zone_reason
-{
-    own,         // the endpoint is in this node's zone
-    any,         // the pool has too few endpoints here to prefer the zone
-    spill,       // a part of the zone's requests gains by leaving it
-    no_endpoint, // the zone has no usable endpoint of the pool
-    no_room,     // no endpoint of the zone that was chosen had room
-};
-
-// Which endpoints a request may use.
-struct zone_choice
-{
-    std::string zone; // empty: those of all zones
-    zone_reason reason = zone_reason::any;
-};
-
-// Share of the requests of this node's zone to a pool that is sent to other
-// zones. All nodes of the zone derive it from the same aggregated figures.
-struct spill_state
-{
-    bool prefers_zone = false; // false: zones make no difference
-    bool zone_usable = true;   // this zone has a usable endpoint
-    double share = 0;          // of the requests, that leaves the zone
-    // Fractions of `share` by target zone.
-    std::map<std::string, double> targets;
-    // Expected wait for an endpoint by zone, in microseconds; moving average.
-    std::map<std::string, double> wait_us;
-    duration target{};      // least first-byte target of the pool's routes
-    offset target_as_of{0}; // configuration that `target` is taken from
-};
-
 // Why something was decided. Kept in a bounded ring; papayahookctl explain
 // prints it.
 struct decision
@@ -1665,10 +1555,6 @@
     std::uint64_t taken_over = 0;  // requests taken over from leaving peers
     std::uint64_t quarantines = 0; // parts of prompts, each time
     std::uint64_t refused_quarantined = 0; // requests with such a part
-    // Calls by zone of the endpoint and why it was taken.
-    std::map<std::pair<std::string, zone_reason>, std::uint64_t> zone_calls;
-    // Refusals by limit: "quota", "in_flight", "wait", "deadline".
-    std::map<std::string, std::uint64_t> refused_by_limit;
 };
 
 // Upper bounds of the histogram buckets. One more bucket counts larger values.
@@ -1686,14 +1572,6 @@
     duration sum{};
 };
 
-// How fast the queue of a pool is served by this node.
-struct service_rate
-{
-    double per_second = 0; // first calls, moving average; 0: not known
-    int started = 0;       // first calls since `since`
-    time_point since{};
-};
-
 // Latencies of callers' requests, from their arrival at this node.
 struct latencies
 {
@@ -1734,9 +1612,8 @@
     // Bytes of the bodies of open requests: of all, and of the long ones.
     std::size_t request_bytes = 0;
     std::size_t long_request_bytes = 0;
-    std::map<std::string, double> retry_tokens;        // by pool
-    std::map<std::string, quota_state> quotas;         // by organisation
-    std::map<std::string, service_rate> service_rates; // by pool
+    std::map<std::string, double> retry_tokens; // by pool
+    std::map<std::string, quota_state> quotas;  // by organisation
     std::size_t listed_nodes = 0; // in the registry, this one included
     // Link to this node's hub; 0: this node is a hub or has none.
     std::uint64_t hub_link = 0;
@@ -1750,8 +1627,6 @@
     // Moving average of the calls in `remote_loads`. It is used when there are
     // many nodes, because their reports are then older than most calls last.
     std::unordered_map<std::uint32_t, double> remote_call_means;
-    // The same for the tokens in `remote_loads`.
-    std::unordered_map<std::uint32_t, double> remote_token_means;
     // The registry state known here is complete as of then; time_point{}: none
     // is known.
     time_point store_as_of{};
@@ -1766,9 +1641,6 @@
         endpoint_orders;
     time_point cold_senders_at{};  // last choice of cold_sender
     time_point fleet_planned_at{}; // last plan of the fleet
-    // By pool: the loads of the planned time, oldest first, without those that
-    // a later one exceeds.
-    std::map<std::string, std::deque<load_sample>> recent_loads;
     // Last refused order of reclaimable endpoints, by pool.
     std::map<std::string, time_point> reclaimable_refused_at;
     time_point log_restored_at{}; // when the log became reachable again
@@ -1785,11 +1657,8 @@
     std::deque<successor_news> successors; // newest last, bounded
     // Learned microseconds per prompt token, by pool.
     std::map<std::string, double> prefill_us_per_token;
-    speed_state speeds;
-    std::map<std::string, prefix_demand> prefix_demands; // by pool
+    std::map<std::string, prefill_fit> prefill_fits; // by pool
     std::deque<decision> decisions;
-    std::map<std::string, spill_state> spill; // by pool
-    time_point spill_planned_at{};
     time_point last_heartbeat_at{};
     call_id next_call = 1;
     std::uint64_t next_append = 1;
@@ -1844,16 +1713,6 @@
 // Returns the parts of prompts that get no calls.
 std::vector<part_news> quarantined_parts(node_state const& state);
 
-// Speed of an endpoint's incarnation, as this node knows it.
-struct endpoint_speed
-{
-    std::string endpoint;
-    double slowness = 1; // times, relative to the mean of the pool
-    int samples = 0;     // 0: nothing is known
-    duration age{};      // since it was learned or arrived
-};
-std::vector<endpoint_speed> endpoint_speeds(node_state const& state);
-
 // Returns the number of members that this node knows as up, itself included.
 std::ptrdiff_t live_members(node_state const& state);
 
@@ -1883,6 +1742,5 @@
 char const* to_string(move_end it);
 char const* to_string(claim_kind it);
 char const* to_string(request_phase it);
-char const* to_string(zone_reason it);
 
 } // namespace papayahook::core
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -79,31 +79,6 @@
                                           {claim_kind::released, "released"},
                                           {claim_kind::unknown, "unknown"}})
 
-template <class T>
-void write_member(nlohmann::json& j, char const* key, T const& value)
-{
-    j[key] = value;
-}
-
-// Written as an array, like endpoint_load.
-inline void to_json(nlohmann::json& j, speed_figure const& it)
-{
-    j = {it.key, it.first, it.second};
-}
-
-inline void from_json(nlohmann::json const& j, speed_figure& it)
-{
-    it = {j.at(0), j.at(1), j.at(2)};
-}
-
-// Most messages have no speeds.
-inline void write_member(nlohmann::json& j, char const* key,
-                         speed_figures const& value)
-{
-    if (!value.empty())
-        j[key] = value;
-}
-
 // PAPAYAHOOK_JSON(type, element...) defines to_json() and from_json() of a type
 // as NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT does. An element is a
 // member, whose key is its name, a pair (member, "key"), or (member, "key",
@@ -124,7 +99,7 @@
     }
 #define PAPAYAHOOK_WRITE(element)                                              \
     PAPAYAHOOK_JOIN(PAPAYAHOOK_WRITE_, PAPAYAHOOK_FORM(element))(element)
-#define PAPAYAHOOK_WRITE_MEMBER(member) write_member(j, #member, it.member);
+#define PAPAYAHOOK_WRITE_MEMBER(member) j[#member] = it.member;
 #define PAPAYAHOOK_WRITE_PAIR(pair) PAPAYAHOOK_WRITE_KEY pair
 #define PAPAYAHOOK_WRITE_KEY(member, key, ...)                                 \
     __VA_OPT__(if (it.member != std::remove_cvref_t<decltype(it)>{}.member))   \
@@ -262,7 +237,7 @@
 PAPAYAHOOK_JSON(heartbeat, config, in_flight, leaving,
                 (receiver_is_hub, "under"), (closing_link, "parting"), nodes,
                 listed_nodes, store_age, sent_at, echoed_at, known, demand,
-                spent, work, calls, usage, speed_samples, speeds)
+                spent, work, calls, usage)
 PAPAYAHOOK_JSON(endpoint_leaving, endpoint, incarnation)
 PAPAYAHOOK_JSON(version_veto, move, started, reason)
 PAPAYAHOOK_JSON(member_news, node, incarnation, sequence, up, zone,
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -77,7 +77,7 @@
                             short_retry_after);
     if (s.config.applied == 0)
         return make_refusal(503, step::admit, "no configuration read yet",
-                            start_retry_after);
+                            short_retry_after);
     auto const org = s.config.organisation_by_key.find(e.key_digest);
     auto const known_route = s.config.routes.find(e.route);
     bool const is_open = known_route != s.config.routes.end() &&
@@ -94,22 +94,18 @@
     if (org == s.config.organisation_by_key.end())
         return std::nullopt;
     auto const& limits = s.config.organisations.at(org->second).value;
-    if (s.in_flight[org->second] >= limits.max_in_flight) {
-        s.counts.refused_by_limit["in_flight"]++;
+    if (s.in_flight[org->second] >= limits.max_in_flight)
         return make_refusal(429, step::admit,
                             "the organisation's limit is reached",
                             short_retry_after);
-    }
     auto const& target_route = s.config.routes.at(e.route).value;
     auto const& queue = s.queues[target_route.pool][org->second];
     if (queue.size() >= static_cast<std::size_t>(s.settings.max_queue))
         return make_refusal(503, step::queue, "the queue is full",
                             short_retry_after);
-    if (auto const wait = charge_quota(s, limits, e)) {
-        s.counts.refused_by_limit["quota"]++;
+    if (auto const wait = charge_quota(s, limits, e))
         return make_refusal(429, step::admit, describe_quota(s, limits, e),
                             *wait);
-    }
     return std::nullopt;
 }
 
@@ -133,8 +129,6 @@
         unplaceable.insert(key);
         return false;
     }
-    if (r.attempts == 0)
-        count_served(s, pool_of(s, r));
     start_call(s, r, endpoint, version, out);
     return true;
 }
@@ -323,16 +317,7 @@
     drain_pool(s, queues, out);
     if (r.phase == request_phase::queued)
         refuse_if_evacuated(s, r, out);
-    if (r.phase == request_phase::queued && r.attempts == 0 &&
-        misses_deadline(s, r)) {
-        s.counts.refused_by_limit["deadline"]++;
-        refuse_request(s, r,
-                       {503, outcome::not_run, step::queue, "",
-                        "the requests ahead take longer than the deadline",
-                        retry_after_load(s, r)},
-                       out);
-    }
-    else if (r.phase == request_phase::queued)
+    if (r.phase == request_phase::queued)
         refuse_if_lost(s, r, time_until_unpaused(s, r), out);
 }
 
@@ -375,13 +360,12 @@
         if (r.phase != request_phase::queued)
             continue;
         count_unserved(s, r);
-        s.counts.refused_by_limit["wait"]++;
-        refuse_request(
-            s, r,
-            {503, outcome::not_run, step::queue, "",
-             "no endpoint had room in time",
-             std::max(retry_after_load(s, r), time_until_unpaused(s, r))},
-            out);
+        refuse_request(s, r,
+                       {503, outcome::not_run, step::queue, "",
+                        "no endpoint had room in time",
+                        std::max<std::chrono::milliseconds>(
+                            short_retry_after, time_until_unpaused(s, r))},
+                       out);
     }
 }
 
--- a/src/core/aggregation.cpp
+++ b/src/core/aggregation.cpp
@@ -190,7 +190,6 @@
     subtree.usage = subtree.receiver_is_hub
                         ? std::exchange(s.duties.unpublished_usage, {})
                         : subtree_usage(s);
-    subtree.speed_samples = take_speed_samples(s);
 }
 
 void send_heartbeat(node_state& s, peer_state const& p, heartbeat it,
@@ -210,26 +209,18 @@
 // Updates the moving averages once per heartbeat.
 void sample_remote_calls(node_state& s)
 {
-    auto const smooth = [&](auto& means, auto member) {
-        for (auto& [key, mean] : means)
-            mean *= 1 - remote_calls_smoothing;
-        for (auto const& [key, it] : s.remote_loads)
-            if (it.*member > 0)
-                means[key] += remote_calls_smoothing * it.*member;
-        std::erase_if(
-            means, [](auto const& it) { return it.second < min_mean_calls; });
-    };
-    smooth(s.remote_call_means, &endpoint_load::calls);
-    smooth(s.remote_token_means, &endpoint_load::tokens);
+    for (auto& [key, mean] : s.remote_call_means)
+        mean *= 1 - remote_calls_smoothing;
+    for (auto const& [key, it] : s.remote_loads)
+        s.remote_call_means[key] += remote_calls_smoothing * it.calls;
+    std::erase_if(s.remote_call_means,
+                  [](auto const& it) { return it.second < min_mean_calls; });
 }
 
-mean_load mean_remote_load(node_state const& s, std::string const& endpoint)
+double mean_remote_calls(node_state const& s, std::string const& endpoint)
 {
-    auto const key = endpoint_key(endpoint);
-    auto const calls = s.remote_call_means.find(key);
-    auto const tokens = s.remote_token_means.find(key);
-    return {calls == s.remote_call_means.end() ? 0 : calls->second,
-            tokens == s.remote_token_means.end() ? 0 : tokens->second};
+    auto const it = s.remote_call_means.find(endpoint_key(endpoint));
+    return it == s.remote_call_means.end() ? 0 : it->second;
 }
 
 endpoint_load remote_load(node_state const& s, std::string const& endpoint)
@@ -258,7 +249,6 @@
         return;
     s.last_heartbeat_at = s.now;
     sample_remote_calls(s);
-    evaluate_speeds(s);
     auto subtree = aggregate_subtree(s);
     // Increments stay unreported while no hub is linked: totals that are added
     // up now would reach no other node.
@@ -279,10 +269,8 @@
             send_heartbeat(s, p, subtree, out);
             break;
         case relation::subtree:
-            if (!all) {
+            if (!all)
                 all = aggregate_all(s, subtree);
-                all->speeds = next_speeds(s);
-            }
             send_heartbeat(s, p, subtract_peer(*all, p), out);
             break;
         case relation::unrelated:
@@ -319,8 +307,6 @@
         e.work.clear();
         e.calls.clear();
         e.usage.clear();
-        e.speed_samples.clear();
-        e.speeds.clear();
     }
     add(s.remote_loads, p.last_heartbeat.calls, -1);
     add(s.remote_loads, e.calls, 1);
@@ -331,12 +317,6 @@
         apply_peer_spending(s, p, e);
         learn_usage(s, p, e);
     }
-    if (p.link == s.hub_link)
-        learn_speeds(s, e.speeds);
-    else
-        learn_speed_samples(s, e.speed_samples, e.receiver_is_hub);
-    e.speed_samples.clear();
-    e.speeds.clear();
     s.listed_nodes = std::max(s.listed_nodes, e.listed_nodes);
     p.last_heartbeat = std::move(e);
 }
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -18,9 +18,6 @@
 
 // Retry-After of refusals whose cause may end at any moment.
 inline constexpr std::chrono::seconds short_retry_after{1};
-// Retry-After until the configuration is read, which takes less than a second
-// from the start of a node.
-inline constexpr std::chrono::milliseconds start_retry_after{300};
 
 // admission.cpp: admission of requests and fair queues before the pools
 // Count what an open request takes, until it ends.
@@ -39,8 +36,6 @@
 void shed_queued_requests(node_state& s, effects& out);
 
 // routing.cpp: choice of an endpoint
-// Returns whether the nodes are too many to know the current load.
-bool has_many_nodes(node_state const& s);
 // Returns whether an endpoint gets no new work: it leaves, or its zone is
 // evacuated.
 bool is_leaving(node_state const& s, endpoint const& e);
@@ -67,30 +62,6 @@
 void on_instance_list(node_state& s, instance_list const& e, effects& out);
 bool learn_leaving(node_state& s, endpoint_leaving const& e, effects& out);
 
-// speeds.cpp: speeds of endpoints, learned from answers
-std::uint32_t speed_key(endpoint const& e);
-// Returns the slowness of an endpoint relative to the mean of its pool.
-double slowness_of(node_state const& s, endpoint const& e);
-void sample_pause(node_state& s, request_state& r);
-void sample_prefill(node_state& s, request_state const& r, double us);
-void sample_answer(node_state& s, request_state& r);
-speed_figures take_speed_samples(node_state& s);
-speed_figures next_speeds(node_state& s);
-// Applies samples of a peer, which another hub gets as well if `forwards`.
-void learn_speed_samples(node_state& s, speed_figures const& from,
-                         bool forwards);
-void learn_speeds(node_state& s, speed_figures const& from);
-// Evaluates the samples of a hub when it is time.
-void evaluate_speeds(node_state& s);
-
-// spill.cpp: requests that leave their zone
-void plan_spill(node_state& s, effects& out);
-// Returns the zones whose endpoints the request may use.
-zone_choice zones_for(node_state const& s, request_state const& r,
-                      std::string const& pool);
-void count_zone_call(node_state& s, request_state const& r, endpoint const& e,
-                     std::string const& pool);
-
 // limits.cpp: limits of calls in flight and of the time in a queue
 
 // Fraction of a node's limit and of an endpoint's slots that is reserved for
@@ -109,23 +80,14 @@
 // longer than a burst lasts.
 bool is_standing_queue(node_state const& s, std::string const& pool);
 // Longest wait in a standing queue, for requests to models and to plain
-// services whose routes state no target of their own.
+// services.
 struct wait_limits
 {
-    double fraction = 0; // of a target: the wait of a request to a model
     duration model{};
     duration service{};
 };
 wait_limits max_queue_wait(node_state const& s,
                            std::string const& organisation);
-// Counts the first call of a request that waited or could have.
-void count_served(node_state& s, std::string const& pool);
-// Returns when a request that is refused because of load should come again.
-std::chrono::milliseconds retry_after_load(node_state const& s,
-                                           request_state const& r);
-// Returns whether the requests ahead of one in its queue take longer than its
-// deadline allows, even at twice the rate at which the pool is served.
-bool misses_deadline(node_state const& s, request_state const& r);
 bool exceeds_queue_wait(node_state const& s, request_state const& r,
                         wait_limits const& longest);
 
@@ -365,14 +327,8 @@
 void add_usage(usage_counts& to, usage_counts const& from);
 // Returns the load of an endpoint from all other nodes, as far as reported.
 endpoint_load remote_load(node_state const& s, std::string const& endpoint);
-// Returns the moving averages of the other nodes' calls and tokens at an
-// endpoint.
-struct mean_load
-{
-    double calls = 0;
-    double tokens = 0;
-};
-mean_load mean_remote_load(node_state const& s, std::string const& endpoint);
+// Returns the moving average of the other nodes' calls at an endpoint.
+double mean_remote_calls(node_state const& s, std::string const& endpoint);
 // Returns whether the figures of at least three quarters of the live nodes are
 // known here.
 bool covers_most_nodes(node_state const& s);
@@ -454,8 +410,6 @@
 inline constexpr int part_quarantined = 507;
 inline constexpr int part_released = 508;
 inline constexpr int part_probed = 509;
-inline constexpr int spill_started = 531;
-inline constexpr int spill_ended = 532;
 inline constexpr int peer_up = 601;
 inline constexpr int peer_down = 602;
 inline constexpr int peer_refused = 603;
--- a/src/core/limits.cpp
+++ b/src/core/limits.cpp
@@ -21,7 +21,6 @@
 constexpr double late_smoothing = 0.05;    // weight of a new sample
 constexpr double max_late_fraction = 0.05; // above: too many calls in flight
 constexpr double decrease_factor = 0.93;
-constexpr double served_smoothing = 0.3;   // weight of a new sample
 constexpr double full_fraction = 0.85;     // of the slots, by load reports
 constexpr double increase_fraction = 0.03; // of the limit; at least one call
 constexpr double min_share_fraction = 0.5; // of an even share of the slots
@@ -43,15 +42,6 @@
            it->second.value.kind == endpoint_kind::model_runner;
 }
 
-// What the request's route states; zero: nothing.
-duration stated_target(node_state const& s, request_state const& r)
-{
-    auto const it = s.config.routes.find(r.request.route);
-    return it == s.config.routes.end()
-               ? duration(0)
-               : duration(it->second.value.first_byte_target);
-}
-
 struct version_load
 {
     int slots = 0;          // of the version's endpoints
@@ -209,9 +199,7 @@
     if (!runs_on_model_runner(s, r) || r.on_cold_endpoint)
         return;
     auto const prefill = r.request.prompt_tokens * s.settings.prefill_per_token;
-    auto const stated = stated_target(s, r);
-    auto const target =
-        stated > 0us ? stated : duration(s.settings.first_token_target);
+    auto const target = duration(s.settings.first_token_target);
     auto const allowed = std::chrono::duration_cast<duration>(
         target * endpoint_fraction + prefill);
     auto& it = s.limits[{r.pool, r.version}];
@@ -273,95 +261,19 @@
     auto const fraction = is_within_fair_share(s, organisation)
                               ? wait_fraction_in_share
                               : wait_fraction;
-    return {fraction,
-            std::chrono::duration_cast<duration>(
+    return {std::chrono::duration_cast<duration>(
                 duration(s.settings.first_token_target) * fraction),
             duration(s.settings.service_wait)};
 }
 
-void count_served(node_state& s, std::string const& pool)
-{
-    auto& it = s.service_rates[pool];
-    if (it.since == time_point{})
-        it.since = s.now;
-    it.started++;
-    auto const passed = s.now - it.since;
-    if (passed < adjust_period)
-        return;
-    double const rate =
-        it.started / std::chrono::duration<double>(passed).count();
-    it.per_second =
-        it.per_second <= 0
-            ? rate
-            : it.per_second + served_smoothing * (rate - it.per_second);
-    it.started = 0;
-    it.since = s.now;
-}
-
-// The requests that wait here are served first, then those that are refused.
-// The id spreads the latter over as long a time, so that they come in turn.
-std::chrono::milliseconds retry_after_load(node_state const& s,
-                                           request_state const& r)
-{
-    constexpr auto min_wait = 50ms;
-    constexpr double max_seconds = 2.5; // and as much again for the spread
-    constexpr std::uint64_t steps = 1'000;
-    auto const rate = s.service_rates.find(r.pool);
-    bool const is_known =
-        rate != s.service_rates.end() && rate->second.per_second > 0;
-    if (stated_target(s, r) == 0us || !is_known)
-        return short_retry_after;
-    double ahead = 1;
-    auto const queues = s.queues.find(r.pool);
-    if (queues != s.queues.end())
-        for (auto const& [name, queue] : queues->second)
-            ahead += static_cast<double>(queue.size());
-    double const turn = static_cast<double>(hash_of(r.request.id) % steps) /
-                        static_cast<double>(steps);
-    double const seconds =
-        std::min(max_seconds, ahead / rate->second.per_second);
-    return std::max<std::chrono::milliseconds>(
-        min_wait, std::chrono::ceil<std::chrono::milliseconds>(
-                      std::chrono::duration<double>(seconds * (1 + turn))));
-}
-
-bool misses_deadline(node_state const& s, request_state const& r)
-{
-    constexpr double optimism = 2;
-    auto const rate = s.service_rates.find(r.pool);
-    auto const queues = s.queues.find(r.pool);
-    bool const is_known =
-        stated_target(s, r) > 0us && queues != s.queues.end() &&
-        rate != s.service_rates.end() && rate->second.per_second > 0;
-    if (!is_known || !queues->second.contains(r.organisation))
-        return false;
-    double const served =
-        optimism * rate->second.per_second *
-        std::chrono::duration<double>(r.deadline - s.now).count();
-    auto const& own = queues->second.at(r.organisation);
-    if (static_cast<double>(own.size()) <= served)
-        return false;
-    auto const ahead = std::ranges::count_if(own, [&](auto const& it) {
-        return it < std::tuple(r.klass, r.start_tag, r.request.id);
-    });
-    return static_cast<double>(ahead) > served;
-}
-
 bool exceeds_queue_wait(node_state const& s, request_state const& r,
                         wait_limits const& longest)
 {
     bool const is_exempt = r.klass == priority_class::job ||
                            r.klass == priority_class::order || r.head_sent ||
                            r.attempts > 0;
-    auto const stated = stated_target(s, r);
-    bool const is_model = r.request.via_model_path;
-    auto const of_target =
-        is_model
-            ? std::chrono::duration_cast<duration>(stated * longest.fraction)
-            : stated;
-    auto const limit = stated > 0us ? of_target
-                       : is_model   ? longest.model
-                                    : longest.service;
+    auto const limit =
+        r.request.via_model_path ? longest.model : longest.service;
     return !is_exempt && r.arrived + limit <= s.now;
 }
 
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -166,7 +166,6 @@
     evaluate_moves(s, out);
     write_checkpoint(s, out);
     send_heartbeats(s, out);
-    plan_spill(s, out);
     expire_answers(s);
     forget_endpoints(s);
     maintain_parts(s, out);
@@ -359,10 +358,4 @@
     return names.at(static_cast<std::size_t>(it));
 }
 
-char const* to_string(zone_reason it)
-{
-    constexpr std::array names{"own", "any", "spill", "no_endpoint", "no_room"};
-    return names.at(static_cast<std::size_t>(it));
-}
-
 } // namespace papayahook::core
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -104,7 +104,6 @@
     if (is_proof)
         clear_parts(s, r, out);
     s.endpoints[r.endpoint].failures = 0;
-    sample_answer(s, r);
     s.counts.answered++;
     record_answer(s, r, out);
     end_request(s, r);
@@ -314,7 +313,6 @@
 {
     auto const& e = s.config.endpoints.at(endpoint).value;
     bool const is_first = r.attempts == 0;
-    count_zone_call(s, r, e, pool_of(s, r));
     r.attempts++;
     r.endpoint = endpoint;
     r.incarnation = e.incarnation;
@@ -325,8 +323,6 @@
     r.call_started = s.now;
     r.progress_at = s.now;
     r.answering_since = {};
-    r.chunk_at = {};
-    r.pauses.clear();
     s.calls[r.call] = r.request.id;
     begin_answer(s, r, e.kind);
     begin_prefill(s, r, e);
@@ -429,7 +425,6 @@
     r->progress_at = s.now;
     if (r->answering_since == time_point{})
         r->answering_since = s.now;
-    sample_pause(s, *r);
     auto const next = r->chunks.size();
 #if !PAPAYAHOOK_MUTATION_ACCEPT_ANY_ORDER
     if (e.index < next)
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -9,7 +9,6 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 
 namespace papayahook::runtime {
@@ -65,27 +64,6 @@
           static_cast<double>(core::quarantined_parts(s).size()));
 }
 
-void add_zones(prometheus::Registry& r, core::node_state const& s)
-{
-    for (auto const& [key, n] : s.counts.zone_calls)
-        counter(r, "papayahook_zone_calls_total",
-                "Calls by zone of the endpoint and why it was taken", n,
-                {{"zone", key.first}, {"reason", to_string(key.second)}});
-    for (auto const& [pool, it] : s.spill) {
-        gauge(r, "papayahook_spill_share",
-              "Share of the zone's requests that is sent to other zones",
-              it.share, {{"pool", pool}});
-        for (auto const& [zone, us] : it.wait_us)
-            if (std::isfinite(us))
-                gauge(r, "papayahook_zone_wait_seconds",
-                      "Expected wait for an endpoint of the zone",
-                      std::chrono::duration<double>(
-                          std::chrono::duration<double, std::micro>(us))
-                          .count(),
-                      {{"pool", pool}, {"zone", zone}});
-    }
-}
-
 void add_connections(prometheus::Registry& r, caller_use const& callers)
 {
     for (auto const& [reason, n] : callers.closed)
@@ -144,32 +122,6 @@
           "Endpoints that state that they are cold", static_cast<double>(cold));
 }
 
-constexpr std::size_t max_speed_series = 1'000;
-
-void add_speeds(prometheus::Registry& r, core::node_state const& s)
-{
-    std::size_t n = 0;
-    for (auto const& it : core::endpoint_speeds(s)) {
-        if (it.samples == 0)
-            continue;
-        if (n++ >= max_speed_series)
-            break;
-        prometheus::Labels const labels{{"endpoint", it.endpoint}};
-        gauge(r, "papayahook_endpoint_slowness",
-              "Time of an endpoint relative to the mean of its pool",
-              it.slowness, labels);
-        gauge(r, "papayahook_endpoint_speed_samples",
-              "Samples behind the slowness of an endpoint", it.samples, labels);
-        gauge(r, "papayahook_endpoint_speed_age_seconds",
-              "Time since the slowness of an endpoint was learned",
-              std::chrono::duration<double>(it.age).count(), labels);
-    }
-    for (auto const& [pool, us] : s.prefill_us_per_token)
-        gauge(r, "papayahook_prefill_seconds_per_token",
-              "Learned time per prompt token of a pool", us / 1e6,
-              {{"pool", pool}});
-}
-
 } // namespace
 
 std::string metrics_text(core::node_state const& s, link_bytes links,
@@ -177,7 +129,6 @@
 {
     prometheus::Registry r;
     add_connections(r, callers);
-    add_zones(r, s);
     auto const& n = s.counts;
     counter(r, "papayahook_requests_total", "Requests received", n.requests);
     counter(r, "papayahook_answers_total", "Whole answers", n.answered);
@@ -185,9 +136,6 @@
             n.refused_not_run, {{"outcome", "not_run"}});
     counter(r, "papayahook_refusals_total", "Requests without an answer",
             n.refused_unknown, {{"outcome", "outcome_unknown"}});
-    for (auto const& [limit, count] : n.refused_by_limit)
-        counter(r, "papayahook_limit_refusals_total",
-                "Requests refused by a limit", count, {{"limit", limit}});
     add_restrictions(r, s);
     counter(r, "papayahook_broken_answers_total",
             "Answers that ended in an error event", n.failed_answers);
@@ -225,7 +173,6 @@
     gauge(r, "papayahook_open_calls", "Calls in flight",
           static_cast<double>(s.calls.size()));
     add_request_memory(r, s);
-    add_speeds(r, s);
     gauge(r, "papayahook_log_reachable", "1 when the log answers",
           s.log_reachable ? 1 : 0);
     if (s.store_as_of != core::time_point{})
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -129,17 +129,6 @@
     it.finish();
 }
 
-void read_routing(table_reader it, settings& out)
-{
-    constexpr std::int64_t max_cost_us = 1'000'000;
-    out.core.prefers_own_zone =
-        it.flag("prefers_own_zone", out.core.prefers_own_zone);
-    out.core.hop_cost_per_kib = std::chrono::microseconds(
-        it.integer("hop_cost_us_per_kib", out.core.hop_cost_per_kib.count(), 0,
-                   max_cost_us));
-    it.finish();
-}
-
 void read_timeouts(table_reader it, settings& out)
 {
     read_time(it, "first_token_target_ms", out.core.first_token_target, 1h);
@@ -278,7 +267,6 @@
     read_listen(optional_table(top, file, "listen"), out);
     read_platform(optional_table(top, file, "platform"), out);
     read_limits(optional_table(top, file, "limits"), out);
-    read_routing(optional_table(top, file, "routing"), out);
     read_timeouts(optional_table(top, file, "timeouts"), out);
     read_security(optional_table(top, file, "security"), out);
     read_logging(optional_table(top, file, "logging"), out);
@@ -326,9 +314,6 @@
         << "\nmax_peer_message_bytes = " << it.max_peer_message_bytes
         << "\ncheckpoint_every = " << it.core.checkpoint_every
         << "\npolls_per_second = " << it.polls_per_second
-        << "\n\n[routing]\nprefers_own_zone = "
-        << (it.core.prefers_own_zone ? "true" : "false")
-        << "\nhop_cost_us_per_kib = " << it.core.hop_cost_per_kib.count()
         << "\n\n[timeouts]\nhop_cost_ms = " << ms(it.core.hop_cost)
         << "\nfirst_token_target_ms = " << ms(it.core.first_token_target)
         << "\nservice_wait_ms = " << ms(it.core.service_wait)
--- a/test/limits_test.cpp
+++ b/test/limits_test.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <set>
 
 using namespace papayahook;
 using namespace papayahook::support;
@@ -162,56 +161,6 @@
     }
 }
 
-TEST_CASE("the longest wait follows the target that a route states")
-{
-    auto w = two_organisations();
-    auto chat = w.nodes[0].config.routes.at("chat").value;
-    chat.first_byte_target = 5s;
-    publish(w, chat);
-    read_log(w, 0);
-    send_requests(w, 0, slots_of_v1 + 5, "a");
-    REQUIRE(queued(w) == 5);
-    pass_time(w, 50ms);
-    pass_time(w, 400ms);
-    send_requests(w, 100, 1, "a", core::priority_class::job);
-    pass_time(w, 200ms);
-    CHECK(queued(w) == 6); // without the target, five would be refused
-}
-
-TEST_CASE("callers that are refused because of load return in turn, and a "
-          "request that can't be served before its deadline does not wait")
-{
-    auto w = two_organisations();
-    auto chat = w.nodes[0].config.routes.at("chat").value;
-    chat.first_byte_target = 500ms;
-    chat.deadline = 3s;
-    publish(w, chat);
-    read_log(w, 0);
-    send_requests(w, 0, slots_of_v1, "a");
-    w.nodes[0].service_rates["lm"].per_second = 4; // at most 24 in 3 s
-    send_requests(w, 100, 24, "a");
-    CHECK(w.ends.empty());
-    std::set<std::chrono::milliseconds> waits;
-    int refused = 0;
-    for (int i = 0; i < 20; ++i) {
-        core::effects out;
-        core::reduce(
-            w.nodes[0],
-            {w.now, request_of(w, 200 + i, "a", core::priority_class::chat)},
-            out);
-        for (auto const& it : out)
-            if (auto const* const why = std::get_if<core::refuse>(&it)) {
-                refused++;
-                waits.insert(why->why.retry_after);
-                CHECK(why->why.known_outcome == core::outcome::not_run);
-            }
-    }
-    CHECK(refused >= 18);
-    CHECK(waits.size() > 10);
-    CHECK(*waits.begin() >= 50ms);
-    CHECK(*waits.rbegin() <= 5s);
-}
-
 TEST_CASE("requests that take the room freed by a refusal are not cut off")
 {
     auto w = two_organisations();
--- a/test/support/fabric.cpp
+++ b/test/support/fabric.cpp
@@ -117,9 +117,6 @@
             f.messages_sent++;
             if (auto const* const n = std::get_if<core::news>(&m->message))
                 f.entries_sent += n->members.size() + n->endpoints.size();
-            if (auto const* const h = std::get_if<core::heartbeat>(&m->message))
-                f.speed_figures_sent +=
-                    h->speed_samples.size() + h->speeds.size();
             auto const link = f.links.find(m->link);
             if (link == f.links.end() || f.cut.contains(node))
                 continue;
--- a/test/support/fabric.hpp
+++ b/test/support/fabric.hpp
@@ -42,7 +42,6 @@
     std::uint64_t messages_sent = 0;
     // Nodes and endpoints in the news that were sent.
     std::uint64_t entries_sent = 0;
-    std::uint64_t speed_figures_sent = 0;
     // Effects that the nodes produced, by node.
     std::vector<core::follow_store> follows;       // the last one
     std::vector<std::vector<core::effect>> others; // not carried out here
