--- a/review/stage-2/rig.hpp
+++ b/review/stage-2/rig.hpp
@@ -546,7 +546,7 @@
 
     address at;
 
-    void cut() { cut_since_ = now_s(), cut_until_ = 1e9; }
+    void cut() { cut_until_ = 1e9; }
     void heal() { cut_until_ = now_s(); }
     bool is_cut() const { return now_s() < cut_until_; }
     // The opening packet of the next connections is lost: TCP sends it again
@@ -612,7 +612,6 @@
     }
 
     address to_;
-    std::atomic<double> cut_since_{0};
     std::atomic<double> cut_until_{0};
 };
 
