--- a/review/stage-2/duty.hpp
+++ b/review/stage-2/duty.hpp
@@ -51,10 +51,9 @@
         for (auto const& it : members)
             start(it->self);
         if (!wait_for(15, [&] {
-                return std::all_of(members.begin(), members.end(),
-                                   [](auto const& it) {
-                                       return is_ready(it->self);
-                                   });
+                return std::all_of(
+                    members.begin(), members.end(),
+                    [](auto const& it) { return is_ready(it->self); });
             }))
             give_up("the nodes are not ready");
         note("script  all nodes are ready");
--- a/review/stage-2/memory.hpp
+++ b/review/stage-2/memory.hpp
@@ -36,10 +36,10 @@
         auto at = std::make_unique<address>(
             address{own_ip(120 + static_cast<int>(runners_.size())), 0});
         serve_on(*at, std::move(serve));
-        json entry{{"service", service},    {"address", at->text()},
-                   {"zone", "zone-a"},      {"version", "v1"},
-                   {"slots", 64},           {"state", "ready"},
-                   {"cold_left_ms", 0},     {"sequence", 1},
+        json entry{{"service", service},   {"address", at->text()},
+                   {"zone", "zone-a"},     {"version", "v1"},
+                   {"slots", 64},          {"state", "ready"},
+                   {"cold_left_ms", 0},    {"sequence", 1},
                    {"born", 1700000000000}};
         if (models)
             entry["models"] = {{{"name", "m"}, {"version", 1}}};
@@ -99,9 +99,9 @@
 
     static std::string configuration()
     {
-        json const route{{"host", "h"},      {"attempts", 1},
-                         {"public", false},  {"target_latency_ms", 500},
-                         {"priority", 0},    {"sticky", false},
+        json const route{{"host", "h"},       {"attempts", 1},
+                         {"public", false},   {"target_latency_ms", 500},
+                         {"priority", 0},     {"sticky", false},
                          {"resumable", false}};
         auto orders = route;
         orders.update({{"name", "orders"},
--- a/review/stage-2/refused.cpp
+++ b/review/stage-2/refused.cpp
@@ -26,7 +26,7 @@
                  {"tenants", {{{"name", "acme"}, {"api_keys", {"k1"}}}}}}
                 .dump());
     std::mutex m;
-    std::set<std::string> ran;          // ids of requests
+    std::set<std::string> ran;           // ids of requests
     std::map<std::string, int> bookings; // by order
     int runs = 0;
     std::vector<std::unique_ptr<address>> runners;
@@ -59,10 +59,14 @@
             }
         });
         log.put("keyed.servers", name,
-                json{{"service", "desk"},    {"address", at->text()},
-                     {"zone", "zone-a"},     {"version", "v1"},
-                     {"slots", 6},           {"state", "ready"},
-                     {"cold_left_ms", 0},    {"sequence", 1},
+                json{{"service", "desk"},
+                     {"address", at->text()},
+                     {"zone", "zone-a"},
+                     {"version", "v1"},
+                     {"slots", 6},
+                     {"state", "ready"},
+                     {"cold_left_ms", 0},
+                     {"sequence", 1},
                      {"born", 1700000000000}}
                     .dump());
         runners.push_back(std::move(at));
@@ -82,13 +86,13 @@
         auto const order = "order-" + std::to_string(k);
         for (int attempt = 1; attempt <= 2; ++attempt) {
             auto const id = order + "." + std::to_string(attempt);
-            auto const it = ask(
-                nodes[static_cast<std::size_t>(k + attempt) % 2].front(),
-                "POST /o/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
-                "k1\r\nRequest-Id: " +
-                    id + "\r\nDeadline-Ms: 2500\r\nContent-Length: " +
-                    std::to_string(order.size()) + "\r\n\r\n" + order,
-                5);
+            auto const it =
+                ask(nodes[static_cast<std::size_t>(k + attempt) % 2].front(),
+                    "POST /o/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                    "k1\r\nRequest-Id: " +
+                        id + "\r\nDeadline-Ms: 2500\r\nContent-Length: " +
+                        std::to_string(order.size()) + "\r\n\r\n" + order,
+                    5);
             int const status = it ? it->status() : 0;
             answered += status != 0;
             bool const is_promise = status == 429 || status == 503 ||
--- a/review/stage-2/rig.hpp
+++ b/review/stage-2/rig.hpp
@@ -3,6 +3,7 @@
 // sockets, one thread per connection, loopback addresses only.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -11,7 +12,6 @@
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
-#include <algorithm>
 #include <cstring>
 #include <deque>
 #include <fcntl.h>
@@ -19,7 +19,6 @@
 #include <fstream>
 #include <functional>
 #include <map>
-#include <set>
 #include <memory>
 #include <mutex>
 #include <netinet/in.h>
@@ -27,6 +26,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <string>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -54,8 +54,7 @@
 }
 
 // Written to record.txt and to standard output.
-inline void note(char const* format, ...)
-    __attribute__((format(printf, 1, 2)));
+inline void note(char const* format, ...) __attribute__((format(printf, 1, 2)));
 inline void note(char const* format, ...)
 {
     static std::mutex m;
@@ -345,7 +344,8 @@
                     (n + k < in.size() ? static_cast<unsigned char>(in[n + k])
                                        : 0U);
             for (std::size_t k = 0; k < 4; ++k)
-                out += n + k <= in.size() ? digits[v >> (18 - 6 * k) & 63] : '=';
+                out +=
+                    n + k <= in.size() ? digits[v >> (18 - 6 * k) & 63] : '=';
         }
         return out;
     }
@@ -402,8 +402,7 @@
             for (auto const& r : fresh)
                 on_append(topic, r.key, r.value);
         return answer(
-            200,
-            json{{"offset", first}, {"end", first + fresh.size()}}.dump(),
+            200, json{{"offset", first}, {"end", first + fresh.size()}}.dump(),
             "Content-Type: application/json\r\n");
     }
 
@@ -420,12 +419,11 @@
                 items.push_back({{"key", key},
                                  {"value", base64(all[n].value)},
                                  {"offset", n}});
-        return answer(200,
-                      json{{"items", items},
-                           {"has_more", false},
-                           {"end", all.size()}}
-                          .dump(),
-                      "Content-Type: application/json\r\n");
+        return answer(
+            200,
+            json{{"items", items}, {"has_more", false}, {"end", all.size()}}
+                .dump(),
+            "Content-Type: application/json\r\n");
     }
 
     std::string read(message const& it, std::string const& topic)
@@ -436,8 +434,7 @@
         auto& all = topics_[topic];
         changed_.wait_for(
             lock,
-            std::chrono::milliseconds(wait_ms.empty() ? 0
-                                                      : std::stoi(wait_ms)),
+            std::chrono::milliseconds(wait_ms.empty() ? 0 : std::stoi(wait_ms)),
             [&] { return all.size() > from; });
         auto body = big_endian(all.size(), 8) + big_endian(0, 8);
         for (auto n = from; n < all.size(); ++n) {
@@ -694,8 +691,7 @@
     n.pid = fork();
     if (n.pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL); // it does not outlive the script
-        int const fd =
-            open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        int const fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(fd, 1);
         dup2(fd, 2);
         setenv("PAPAYAHOOK_SETTINGS", settings.c_str(), 1);
