--- a/review/stage-2/one_cut.cpp
+++ b/review/stage-2/one_cut.cpp
@@ -7,7 +7,7 @@
 {
     constexpr double cut_s = 4.0;
     constexpr double thaw_s = 0.3; // bounds.thaw_ms
-    constexpr int max_cuts = 6;
+    constexpr int max_cuts = 5;
     deployment d(3);
     d.start_all();
     if (!wait_for(20, [&] { return d.api.calls().size() > 6; }))
--- a/review/stage-2/one_term.cpp
+++ b/review/stage-2/one_term.cpp
@@ -6,7 +6,7 @@
 
 int main()
 {
-    constexpr int max_stops = 4;
+    constexpr int max_stops = 3;
     deployment d(3);
     d.api.none_available = false;
     d.start_all();
