--- a/review/stage-2/crowd.cpp
+++ b/review/stage-2/crowd.cpp
@@ -47,7 +47,7 @@
                          "Bearer k" +
                              std::to_string(k % 3) + "\r\nRequest-Id: c" +
                              std::to_string(k) + "-" + std::to_string(m) +
-                             "\r\nModel: m\r\nToken-Count: 1460,80\r\n"
+                             "\r\nModel: m\r\nToken-Count: 2500,80\r\n"
                              "Prefix-Hash: " +
                              list + "\r\nDeadline-Ms: 15000\r\n\r\n");
     }
--- a/review/stage-2/duty.hpp
+++ b/review/stage-2/duty.hpp
@@ -67,14 +67,25 @@
         return all.empty() ? std::string() : all.back().holder;
     }
 
-    // Returns the first call with a lower token than an earlier one of the
-    // same subject, and that earlier call.
+    // When links healed. Calls within thaw_ms after it don't count.
+    std::vector<double> heals;
+
+    bool is_excused(duty_call const& it) const
+    {
+        constexpr double thaw_s = 0.3; // bounds.thaw_ms
+        return std::any_of(heals.begin(), heals.end(), [&](double at) {
+            return it.at >= at && it.at <= at + thaw_s;
+        });
+    }
+
+    // Returns the first call that counts and has a lower token than an earlier
+    // one of the same subject, and that earlier call.
     std::optional<std::pair<duty_call, duty_call>> lower_token()
     {
         std::map<std::string, duty_call> highest;
         for (auto const& it : api.calls()) {
             auto& top = highest[it.subject];
-            if (it.token < top.token)
+            if (it.token < top.token && !is_excused(it))
                 return std::pair(it, top);
             if (it.token > top.token)
                 top = it;
@@ -154,7 +165,7 @@
                          {"sequence", 1},
                          {"born", 1700000000000 + n}};
         runners_.push_back(std::move(at));
-        log.put("keyed.servers", name, entry.dump());
+        log.beat(name, entry);
     }
 
     // Some ten prompts of 8,000 tokens a second, over all nodes.
--- a/review/stage-2/memory.hpp
+++ b/review/stage-2/memory.hpp
@@ -6,7 +6,8 @@
 
 namespace rig {
 
-constexpr long memory_limit_kb = 260'000; // limits.memory_mb=260
+// limits.memory_mb=260, read as MiB, which is the larger.
+constexpr long memory_limit_kb = 260L * 1024;
 
 inline long memory_kb(pid_t pid)
 {
@@ -43,7 +44,7 @@
                    {"born", 1700000000000}};
         if (models)
             entry["models"] = {{{"name", "m"}, {"version", 1}}};
-        log.put("keyed.servers", name, entry.dump());
+        log.beat(name, entry);
         runners_.push_back(std::move(at));
     }
 
@@ -56,7 +57,9 @@
         note("platform the node is ready, %ld kB", memory_kb(self.pid));
         for (int n = 0; n < clients; ++n)
             std::thread([this, n] { order_again_and_again(n); }).detach();
-        sleep_s(1);
+        // In touch: its process has run for stable_window_ms (3 s).
+        sleep_s(6);
+        note("platform the node is in touch");
     }
 
     // The platform kills a process that exceeds its memory. Returns whether it
--- a/review/stage-2/one_cut.cpp
+++ b/review/stage-2/one_cut.cpp
@@ -6,14 +6,12 @@
 int main()
 {
     constexpr double cut_s = 4.0;
-    constexpr double thaw_s = 0.3; // bounds.thaw_ms
     constexpr int max_cuts = 5;
     deployment d(3);
     d.start_all();
     if (!wait_for(20, [&] { return d.api.calls().size() > 6; }))
         give_up("no node acts");
     sleep_s(6);
-    double healed = 0;
     for (int n = 0; n < max_cuts && !d.lower_token(); ++n) {
         auto const name = d.holder_now();
         auto* const holder = d.named(name);
@@ -33,11 +31,11 @@
         }
         sleep_s(cut_s);
         if (with_trouble()) {
+            d.heals.push_back(now_s());
             holder->to_store->heal();
             holder->to_api->heal();
             note("script  the cut of %s has ended", name.c_str());
         }
-        healed = now_s();
         sleep_s(6);
     }
     auto const broken = d.lower_token();
@@ -50,7 +48,8 @@
          "%s at %.3f",
          late.subject.c_str(), late.token, late.holder.c_str(), late.at,
          top.token, top.holder.c_str(), top.at);
-    note("script  the call arrived %.0f ms after the end of the cut",
-         1000 * (late.at - (healed)));
-    finish(late.at - healed > thaw_s || healed == 0 ? 1 : 0);
+    if (!d.heals.empty())
+        note("script  the call arrived %.0f ms after the end of the last cut",
+             1000 * (late.at - d.heals.back()));
+    finish(1);
 }
--- a/review/stage-2/refused.cpp
+++ b/review/stage-2/refused.cpp
@@ -58,17 +58,15 @@
                                         "\r\nResponse-Seal: s-" + id + "\r\n"));
             }
         });
-        log.put("keyed.servers", name,
-                json{{"service", "desk"},
-                     {"address", at->text()},
-                     {"zone", "zone-a"},
-                     {"version", "v1"},
-                     {"slots", 6},
-                     {"state", "ready"},
-                     {"cold_left_ms", 0},
-                     {"sequence", 1},
-                     {"born", 1700000000000}}
-                    .dump());
+        log.beat(name, json{{"service", "desk"},
+                            {"address", at->text()},
+                            {"zone", "zone-a"},
+                            {"version", "v1"},
+                            {"slots", 6},
+                            {"state", "ready"},
+                            {"cold_left_ms", 0},
+                            {"sequence", 1},
+                            {"born", 1700000000000}});
         runners.push_back(std::move(at));
     }
     std::vector<node> nodes;
--- a/review/stage-2/rig.hpp
+++ b/review/stage-2/rig.hpp
@@ -317,6 +317,20 @@
         changed_.notify_all();
     }
 
+    // A runner registers itself, and writes its entry again and again.
+    void beat(std::string const& name, json entry)
+    {
+        constexpr double heartbeat_s = 1.2;
+        put("keyed.servers", name, entry.dump());
+        std::thread([this, name, entry]() mutable {
+            for (int n = 2;; ++n) {
+                sleep_s(heartbeat_s);
+                entry["sequence"] = n;
+                put("keyed.servers", name, entry.dump());
+            }
+        }).detach();
+    }
+
 private:
     struct record
     {
