A broken pipe ends no start: SIGPIPE is ignored before main()

A SIGPIPE between the load of the C library and prepare_output() ended the process by signal 13; so would a write to a closed pipe by a static initialiser. Cause: SIGPIPE was ignored only in main(). Class: a disposition set later than the first moment it is needed. Both programs get it in .preinit_array, where the other signals are blocked.

--- a/src/runtime/early_signals.cpp
+++ b/src/runtime/early_signals.cpp
@@ -1,4 +1,4 @@
-// Blocks the signals of a program before its static initialisers run, some of
+// Prepares the signals of a program before its static initialisers run, some of
 // which start threads. A source of each program: a linker would drop it from a
 // static library.
 #include "runtime/blocked_signals.hpp"
@@ -7,8 +7,13 @@
 
 using initialiser = void (*)();
 
+void prepare_signals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    papayahook::runtime::block_signals();
+}
+
 [[gnu::section(".preinit_array"),
-  gnu::used]] initialiser const block_signals_first =
-    &papayahook::runtime::block_signals;
+  gnu::used]] initialiser const prepare_signals_first = &prepare_signals;
 
 } // namespace
--- a/test/start_test.cpp
+++ b/test/start_test.cpp
@@ -596,3 +596,38 @@
         CHECK(is_of_c_library(line));
     }
 }
+
+namespace {
+
+bool blocks(pid_t id, int number)
+{
+    auto const text = read_file("/proc/" + std::to_string(id) + "/status");
+    constexpr std::string_view key = "SigBlk:";
+    auto const at = text.find(key);
+    if (at == text.npos)
+        return false;
+    auto const mask = std::stoull(text.substr(at + key.size()), nullptr, 16);
+    return (mask >> (number - 1) & 1) != 0;
+}
+
+} // namespace
+
+TEST_CASE("a program that blocks its signals is not ended by a broken pipe")
+{
+    constexpr int starts = 200;
+    auto const folder = make_folder("broken-pipe");
+    ::setenv("PAPAYAHOOK_SETTINGS", (folder + "/none").c_str(), 1);
+    auto const name =
+        GENERATE(std::string("papayahook-node"), std::string("papayahookd"));
+    CAPTURE(name);
+    int ended = 0;
+    for (int n = 0; n < starts; ++n) {
+        process run({program(name), "--config", folder + "/none"},
+                    folder + "/log");
+        while (run.runs() && !blocks(run.id(), SIGTERM))
+            ;
+        run.signal(SIGPIPE);
+        ended += run.wait(3ms) == 128 + SIGPIPE ? 1 : 0;
+    }
+    CHECK(ended == 0);
+}
