--- a/test/start_test.cpp
+++ b/test/start_test.cpp
@@ -14,11 +14,13 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <future>
+#include <link.h>
 #include <memory>
 #include <sstream>
 #include <sys/resource.h>
@@ -597,6 +599,17 @@
     }
 }
 
+// The loader relocates a program that has no fixed address before it runs any
+// of its code, which is most of the time in which a signal ends it.
+TEST_CASE("a node is not relocated before it blocks signals")
+{
+    auto const text = read_file(deployed_program());
+    ElfW(Ehdr) header{};
+    REQUIRE(text.size() > sizeof header);
+    std::memcpy(&header, text.data(), sizeof header);
+    CHECK(header.e_type == ET_EXEC);
+}
+
 namespace {
 
 bool blocks(pid_t id, int number)
