A node that starts awaits settings that it can use

A node whose settings were missing, cut or wrong for more than 3 s at its start ended with status 2, and so did one whose addresses changed twice while it waited for one of them (FAULT). Cause: a file that its platform may still write was given up by the clock; and whether to begin anew was decided by a second read of the file, which may have changed back by then. Class: a condition that passes taken for one that does not; a decision read twice.

Now the wait has no end but SIGTERM or SIGINT (status 0) and logs event 111 once a second. That goes for wrong values, too: a part of a value that is being written cannot be told from a wrong one, the platform starts a process that ends with the same file again, and the event names file and key. Only the adapter's first read says whether the start begins anew. Elsewhere: papayahookd still ends with 2 for a wrong file, as its operator writes that file before he starts it; nothing else at the start gives up by the clock (read: platform/, node.cpp).

--- a/test/start_test.cpp
+++ b/test/start_test.cpp
@@ -489,6 +489,15 @@
     std::ofstream(file) << text;
 }
 
+std::ptrdiff_t count_lines(std::string const& file, std::string const& what)
+{
+    std::istringstream in(read_file(file));
+    std::ptrdiff_t out = 0;
+    for (std::string line; std::getline(in, line);)
+        out += line.find(what) != line.npos ? 1 : 0;
+    return out;
+}
+
 } // namespace
 
 TEST_CASE("an address that changes while it is awaited is the one that is used")
@@ -531,6 +540,63 @@
     f.check_ready_and_serving();
 }
 
+TEST_CASE("a start awaits settings for as long as they are not usable")
+{
+    started_fleet f;
+    f.nodes.resize(1);
+    auto& n = f.nodes[0];
+    auto const good = read_file(n.settings);
+    auto const bad = GENERATE_COPY(
+        std::string(), good.substr(0, good.find("platform.address=")),
+        good + "internal_ports=x,y\n");
+    CAPTURE(bad);
+    if (bad.empty())
+        std::filesystem::remove(n.settings);
+    else
+        std::ofstream(n.settings) << bad;
+    start(n);
+    std::this_thread::sleep_for(4500ms);
+    REQUIRE(n.run->runs());
+    auto const lines = count_lines(n.log, "event=111");
+    CHECK(lines >= 4);
+    CHECK(lines <= 5);
+    n.run->signal(SIGTERM);
+    REQUIRE(n.run->wait(1s) == 0);
+    start(n);
+    std::ofstream(n.settings) << good;
+    f.check_ready_and_serving();
+}
+
+TEST_CASE("settings that change all the time while a start waits do not end it")
+{
+    started_fleet f;
+    f.nodes.resize(1);
+    auto& n = f.nodes[0];
+    auto const good = read_file(n.settings);
+    auto other = good;
+    auto const other_front = "127.0.0.1:" + std::to_string(free_port());
+    other.replace(other.find(n.front), n.front.size(), other_front);
+    asio::io_context io;
+    tcp::acceptor taken(io, endpoint_of(n.front));
+    tcp::acceptor other_taken(io, endpoint_of(other_front));
+    for (auto* const it : {&taken, &other_taken})
+        ::fcntl(it->native_handle(), F_SETFD, FD_CLOEXEC);
+    start(n);
+    REQUIRE(
+        eventually(10s, [&] { return count_lines(n.log, "event=108") > 0; }));
+    auto const until = std::chrono::steady_clock::now() + 5s;
+    auto const fresh = n.settings + ".fresh";
+    while (n.run->runs() && std::chrono::steady_clock::now() < until)
+        for (auto const& it : {other, good}) {
+            std::ofstream(fresh) << it;
+            std::filesystem::rename(fresh, n.settings);
+        }
+    CHECK(n.run->runs());
+    taken.close();
+    other_taken.close();
+    f.check_ready_and_serving();
+}
+
 namespace {
 
 bool is_of_c_library(std::string_view file)
