A node serves while the port of its metrics is taken

A node whose metrics port was taken, or not there yet, opened nothing: it logged 108 and waited, unready, for as long as that lasted. Cause: all listeners were opened as one, in the order readiness, metrics, callers, peers. Class: what a node does not need to serve kept it from serving. The others (callers, readiness, peers) it needs, and it waits for them as before.

Now metrics are opened by themselves and tried again each 250 ms until the node stops listening, whatever the error; 108 tells of it once a second. An address of metrics that changes after the node serves is not followed, as those of its other listeners are not.

--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -81,7 +81,8 @@
     explicit gateway(protocol_codec it) : codec_(std::move(it)) {}
 
     // Opens the listeners for callers, readiness probes and metrics that are
-    // not open yet. Throws std::system_error.
+    // not open yet. Throws std::system_error, but not for metrics, which are
+    // tried again later.
     void open(node& n, address const& front, address const& readiness,
               address const& metrics);
     // Returns false if the effect concerns neither a caller nor a call.
@@ -89,6 +90,7 @@
 
 private:
     // gateway_callers.cpp
+    void open_metrics(node& n, address const& at);
     void on_request(node& n, http_request in, responder_ptr out);
     void on_readiness(node& n, responder_ptr const& out);
     void on_caller_closed(node& n, std::uint64_t connection,
@@ -123,6 +125,7 @@
     std::unique_ptr<http_server> front_;
     std::unique_ptr<http_server> readiness_;
     std::unique_ptr<http_server> metrics_;
+    bool has_begun_metrics_ = false; // is open, or tried until it is
     std::map<core::request_id, open_caller> callers_;
     std::map<std::uint64_t, caller_connection> connections_;
     std::map<core::call_id, gateway_call> calls_;
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -3,6 +3,7 @@
 #include "runtime/logging.hpp"
 
 #include <asio/post.hpp>
+#include <utility>
 
 namespace papayahook::runtime {
 
@@ -16,6 +17,28 @@
 
 } // namespace
 
+// A node serves without its metrics.
+void gateway::open_metrics(node& n, address const& at)
+{
+    constexpr auto retry = std::chrono::milliseconds(250);
+    auto options = listener_options(n);
+    options.address = at.ip;
+    options.port = at.port;
+    try {
+        metrics_ =
+            listen(n, "metrics", options, [&n](auto const& in, auto out) {
+                on_admin_request(n, in, out);
+            });
+    }
+    catch (std::system_error const& e) {
+        log_awaited_address(n, e.what());
+        run_after(n, retry, [this, &n, at] {
+            if (!n.has_stopped_listening)
+                open_metrics(n, at);
+        });
+    }
+}
+
 void gateway::open(node& n, address const& front, address const& readiness,
                    address const& metrics)
 {
@@ -29,8 +52,8 @@
     };
     open(readiness_, "readiness", readiness,
          [this, &n](auto const&, auto out) { on_readiness(n, out); });
-    open(metrics_, "metrics", metrics,
-         [&n](auto const& in, auto out) { on_admin_request(n, in, out); });
+    if (!std::exchange(has_begun_metrics_, true))
+        open_metrics(n, metrics);
     options = caller_listener_options(n);
     options.on_close = [this, &n](auto id) {
         asio::post(n.io, [this, &n, id, why = end_of_connection()] {
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -365,6 +365,16 @@
     }
 }
 
+void log_awaited_address(node& n, std::string const& why)
+{
+    auto const at = std::chrono::steady_clock::now();
+    if (at < n.address_awaited_at + awaited_log_period)
+        return;
+    n.address_awaited_at = at;
+    write_log({events::address_awaited, n.options.core.name, "", why});
+    flush_log();
+}
+
 void run_after(node& n, std::chrono::milliseconds delay,
                std::function<void()> act)
 {
@@ -521,13 +531,7 @@
             fail_start(n, e.what());
             return;
         }
-        auto const at = std::chrono::steady_clock::now();
-        if (at >= n.address_awaited_at + awaited_log_period) {
-            n.address_awaited_at = at;
-            write_log(
-                {events::address_awaited, n.options.core.name, "", e.what()});
-            flush_log();
-        }
+        log_awaited_address(n, e.what());
         run_after(n, listen_retry, [&n] { start_when_listening(n); });
     }
     catch (std::exception const& e) {
--- a/src/runtime/node.hpp
+++ b/src/runtime/node.hpp
@@ -128,6 +128,8 @@
 void perform_effect(node& n, core::effect const& effect);
 void run_after(node& n, std::chrono::milliseconds delay,
                std::function<void()> act);
+// Logs at most one line a second.
+void log_awaited_address(node& n, std::string const& why);
 
 // Listener limits from the settings; address and handlers are left unset.
 http_server_options listener_options(node const& n);
--- a/test/start_test.cpp
+++ b/test/start_test.cpp
@@ -540,6 +540,26 @@
     f.check_ready_and_serving();
 }
 
+TEST_CASE("a node serves while its metrics port is taken")
+{
+    started_fleet f;
+    f.nodes.resize(1);
+    auto& n = f.nodes[0];
+    asio::io_context io;
+    tcp::acceptor other(io, endpoint_of(n.metrics));
+    ::fcntl(other.native_handle(), F_SETFD, FD_CLOEXEC);
+    start(n);
+    f.check_ready_and_serving();
+    CHECK(eventually(3s, [&] { return count_lines(n.log, "event=108") > 1; }));
+    other.close();
+    CHECK(eventually(3s, [&] {
+        return get(n.metrics, "/metrics").find("papayahook_") !=
+               std::string::npos;
+    }));
+    n.run->signal(SIGTERM);
+    CHECK(n.run->wait(5s) == 0);
+}
+
 TEST_CASE("a start awaits settings for as long as they are not usable")
 {
     started_fleet f;
