Tests reserve all internal ports of a node

test_platform_processes failed once with "the nodes are not ready in time": the port of a node's metrics was taken, as tests reserved only the first of its internal ports. Cause: ports that are used and were never reserved. Elsewhere: test_soak writes its settings itself; start_test already reserved all 16. All callers of make_node() and settings_of_node() now ask for internal_ports in a row.

test_start "nodes of a test have no port in common", with ports asked for as before: CHECK( seen.insert(address).second ) false from the 7th node on; after: passed, 60 assertions.

--- a/test/accept_test.cpp
+++ b/test/accept_test.cpp
@@ -88,7 +88,7 @@
     {
         fake.put(wire::operator_topic, wire::configuration_key, configuration);
         fake.add_runner({"i-1", "app"});
-        auto const ports = free_port();
+        auto const ports = free_ports(internal_ports);
         peer_address = "127.0.0.1:" + std::to_string(ports);
         node = settings_of_node("n1", fake, ports);
         auto const fds = std::to_string(few_descriptors);
--- a/test/exceptions_test.cpp
+++ b/test/exceptions_test.cpp
@@ -209,7 +209,7 @@
 TEST_CASE("a node whose settings cannot be used says so and waits for others")
 {
     platform_fake fake;
-    auto n = make_node("n1", fake, free_port());
+    auto n = make_node("n1", fake, free_ports(internal_ports));
     auto const good = read_file(n.settings);
     for (auto const& text : unusable_settings(good)) {
         INFO(text);
--- a/test/hostile_callers_test.cpp
+++ b/test/hostile_callers_test.cpp
@@ -223,7 +223,7 @@
     {
         fake.put(wire::operator_topic, wire::configuration_key, routes);
         fake.add_runner({"i-1", "app"});
-        auto const ports = free_port();
+        auto const ports = free_ports(internal_ports);
         peer = "127.0.0.1:" + std::to_string(ports);
         node = settings_of_node("n1", fake, ports);
         std::ofstream(node.settings, std::ios::app) << limits << '\n';
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -154,7 +154,7 @@
     explicit starting_node(bool daemon) : is_daemon(daemon)
     {
         if (!daemon) {
-            n = settings_of_node("n1", fake, free_port());
+            n = settings_of_node("n1", fake, free_ports(internal_ports));
             read_at_start = n.settings;
             auto const metrics = port_of(n.metrics);
             ports = {port_of(n.front), port_of(n.readiness), metrics,
@@ -334,7 +334,7 @@
 TEST_CASE("metrics are read while a node waits for the address of its links")
 {
     platform_fake fake;
-    auto const port = free_port();
+    auto const port = free_ports(internal_ports);
     asio::io_context io;
     asio::ip::tcp::acceptor taken(io, {asio::ip::address_v4::loopback(), port},
                                   true);
--- a/test/platform_process_test.cpp
+++ b/test/platform_process_test.cpp
@@ -242,7 +242,8 @@
                          std::string(15'000'000, 'x');
     raw_runners raw(p.fake, "raw", {"i-7", "i-8", "i-9"},
                     std::vector(calls, endless));
-    auto& n = p.nodes.emplace_back(make_node("n3", p.fake, free_port()));
+    auto& n = p.nodes.emplace_back(
+        make_node("n3", p.fake, free_ports(internal_ports)));
     REQUIRE(eventually(10s, [&] { return is_ready(n); }));
     std::this_thread::sleep_for(500ms); // until the entries are read
     std::vector<call_plan> plans;
@@ -299,7 +300,7 @@
     CHECK_FALSE(get(p.nodes[0].metrics, "/metrics").empty());
     for (auto& node : p.nodes)
         CHECK(read_file(node.log).find("event=207") != std::string::npos);
-    p.nodes.push_back(make_node("n3", p.fake, free_port()));
+    p.nodes.push_back(make_node("n3", p.fake, free_ports(internal_ports)));
     CHECK(eventually(5s, [&] { return is_ready(p.nodes.back()); }));
 }
 
@@ -360,7 +361,8 @@
  "attempts":1}],
 "services":[{"name":"app"},{"name":"slow"},{"name":"none"}],
 "tenants":[{"name":"acme","api_keys":["k1"]}]})");
-    auto& n = p.nodes.emplace_back(make_node("n3", p.fake, free_port(), grace));
+    auto& n = p.nodes.emplace_back(
+        make_node("n3", p.fake, free_ports(internal_ports), grace));
     REQUIRE(eventually(10s, [&] { return is_ready(n); }));
     std::this_thread::sleep_for(1s); // until the entries are read
     std::vector<call_plan> plans;
@@ -429,7 +431,7 @@
     // last connection; the rest is what a busy machine adds.
     constexpr auto drain_limit = 3s + 500ms + 1s + 1s;
     small_platform p;
-    auto node = make_node("n3", p.fake, free_port(), 20s);
+    auto node = make_node("n3", p.fake, free_ports(internal_ports), 20s);
     REQUIRE(eventually(10s, [&] { return is_ready(node); }));
     std::atomic<bool> over{false};
     auto const press = [&] {
@@ -495,7 +497,7 @@
 TEST_CASE("a node without peers runs no library thread that delays its stop")
 {
     platform_fake fake;
-    auto const n = make_node("alone", fake, free_port());
+    auto const n = make_node("alone", fake, free_ports(internal_ports));
     REQUIRE(eventually(5s, [&] {
         return read_file(n.log).find("event=101") != std::string::npos;
     }));
@@ -537,7 +539,7 @@
           "vain")
 {
     small_platform p;
-    auto const third = make_node("n3", p.fake, free_port());
+    auto const third = make_node("n3", p.fake, free_ports(internal_ports));
     REQUIRE(eventually(10s, [&] { return is_ready(third); }));
     auto const changes = [&] {
         auto const log = read_file(third.log);
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -36,7 +36,7 @@
                  platform::wire::configuration_key, orders);
         for (auto const* const name : {"i-1", "i-2", "i-3"})
             fake.add_runner({name, "app", "v1", false, run_time});
-        node = settings_of_node("n1", fake, free_port());
+        node = settings_of_node("n1", fake, free_ports(internal_ports));
         std::ofstream(node.settings, std::ios::app)
             << "limits.memory_mb=" << memory_mb << '\n';
         start(node);
--- a/test/start_test.cpp
+++ b/test/start_test.cpp
@@ -22,6 +22,7 @@
 #include <future>
 #include <link.h>
 #include <memory>
+#include <set>
 #include <sstream>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -308,8 +309,6 @@
     REQUIRE(::chdir("/proc") == 0); // nobody can write to it
 }
 
-constexpr int internal_ports = 16;
-
 struct started_fleet
 {
     started_fleet()
@@ -540,6 +539,19 @@
     f.check_ready_and_serving();
 }
 
+TEST_CASE("nodes of a test have no port in common")
+{
+    platform_fake fake;
+    std::set<std::string> seen;
+    for (int n = 0; n < 20; ++n) {
+        auto const it = settings_of_node("n", fake, free_ports(internal_ports));
+        for (auto const& address : {it.front, it.readiness, it.metrics}) {
+            CAPTURE(n, address);
+            CHECK(seen.insert(address).second);
+        }
+    }
+}
+
 TEST_CASE("a node serves while its metrics port is taken")
 {
     started_fleet f;
--- a/test/support/platform_nodes.cpp
+++ b/test/support/platform_nodes.cpp
@@ -25,7 +25,7 @@
     std::ofstream(n.settings)
         << "node_name=" << n.name << "\nzone=zone-a\nip=127.0.0.1"
         << "\nlisten.front=" << n.front << "\nlisten.readiness=" << n.readiness
-        << "\ninternal_ports=" << ports << ',' << ports + 15
+        << "\ninternal_ports=" << ports << ',' << ports + internal_ports - 1
         << "\nplatform.address=" << p.store_address
         << "\ncloud_api.address=" << p.api_address
         << "\ncloud_api.duties=usage\nbounds.usage_window_s=1"
@@ -97,7 +97,7 @@
     fake.put(wire::operator_topic, wire::configuration_key, configuration);
     fake.add_runner({"i-1", "app"});
     for (auto const* const name : {"n1", "n2"})
-        nodes.push_back(make_node(name, fake, free_port()));
+        nodes.push_back(make_node(name, fake, free_ports(internal_ports)));
     if (!eventually(10s,
                     [&] { return is_ready(nodes[0]) && is_ready(nodes[1]); }))
         throw std::runtime_error("the nodes are not ready in time");
--- a/test/support/platform_nodes.hpp
+++ b/test/support/platform_nodes.hpp
@@ -38,6 +38,9 @@
     std::unique_ptr<process> run;
 };
 
+// The ports of a node for its own use, in a row; its metrics have one of them.
+inline constexpr int internal_ports = 16;
+
 std::string read_file(std::string const& file);
 
 // Writes the settings file of a node. `ports` is the first of its internal
@@ -47,7 +50,8 @@
                     std::chrono::seconds grace = std::chrono::seconds(8));
 // Starts the node's process with its settings file and log file.
 void start(platform_node& n);
-// A node that has settings and does not run yet.
+// A node that has settings and does not run yet. `ports` is the first of
+// internal_ports that are free.
 platform_node
 settings_of_node(std::string const& name, platform_fake const& p,
                  std::uint16_t ports,
