Streams: keep what is held, and count it as the memory it takes

Callers saw answers of a node cut all at once: the process went over its 260 MB and was killed.

Cause: an object stayed for each chunk of a stream until its request ended, also when its bytes had been dropped, and each blank line was a chunk. Limits counted the bytes of the events. Class: what is kept is counted as what came.

Change: sent chunks leave nothing but the index of the first one that is kept; held_bytes counts the string and its heap block; chunks that wait behind a gap are bounded by bytes as well. A blank line joins the event that follows, and lines are searched once instead of from the start of the event. Of the ids that a resumed call must not repeat, a hash is kept for each, and the newest.

Same cause looked for: handed-over chunks (counted by the same function), stored answers of claims (now counted when they are sent), ids of resumed streams (mended). Not mended: a dispatch that resumes a stream copies its chunks for the time of one event.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1365,12 +1365,14 @@
     bool endpoint_resumes = false; // its endpoint's kind continues streams
     bool has_position = true;      // see answer_chunk::has_position
     bool paused = false;
-    std::vector<std::string> chunks; // in order from 0
-    std::size_t held_bytes = 0;      // in `chunks`
-    bool passes_on_only = false;     // its sent chunks are not held
-    std::size_t undrained_bytes = 0; // sent and not yet written; upper bound
+    std::deque<std::string> chunks;   // in order; earlier ones were dropped
+    std::uint64_t dropped_chunks = 0; // index of the first in `chunks`
+    std::size_t held_bytes = 0;       // memory of `chunks`: memory_of()
+    bool passes_on_only = false;      // its sent chunks are not held
+    std::size_t undrained_bytes = 0;  // sent and not yet written; upper bound
     // Chunks behind a gap, by index.
     std::map<std::uint64_t, std::string> early_chunks;
+    std::size_t early_bytes = 0;      // memory of `early_chunks`
     std::uint64_t sent_chunks = 0;    // chunks passed to the runtime
     std::uint64_t drained_chunks = 0; // chunks written to the caller's socket
     std::optional<std::uint64_t> total_chunks; // chunks of the complete answer
@@ -1386,6 +1388,12 @@
     std::string taken_by;                 // node that continues the request
 };
 
+// Chunks that this node has received.
+inline std::uint64_t chunk_count(request_state const& r)
+{
+    return r.dropped_chunks + r.chunks.size();
+}
+
 struct claim_state
 {
     offset at = 0;       // offset of the claim
--- a/src/codec/event_stream.cpp
+++ b/src/codec/event_stream.cpp
@@ -2,34 +2,55 @@
 
 #include "codec/text.hpp"
 
+#include <utility>
+
 namespace papayahook::codec {
 
+namespace {
+
+std::string_view without_cr(std::string_view line)
+{
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+void read_line(std::string_view line, stream_event& it)
+{
+    it.has_data = it.has_data || line.starts_with("data");
+    if (line.starts_with("id:"))
+        it.id = trim(line.substr(3));
+}
+
+} // namespace
+
+// A blank line ends an event only if one has begun: an event for each would
+// take many times its bytes.
 std::vector<stream_event> split_events(event_splitter& s, std::string_view data)
 {
     std::vector<stream_event> out;
+    auto const searched = s.held.size();
     s.held += data;
     std::size_t begin = 0;
-    for (;;) {
-        auto const lf = s.held.find("\n\n", begin);
-        auto const crlf = s.held.find("\r\n\r\n", begin);
-        if (lf == s.held.npos && crlf == s.held.npos)
-            break;
-        auto const end = lf < crlf ? lf + 2 : crlf + 4;
-        stream_event it;
-        it.bytes = s.held.substr(begin, end - begin);
-        for (auto line : split(it.bytes, '\n')) {
-            it.has_data = it.has_data || line.starts_with("data");
-            if (line.starts_with("id:")) {
-                line = trim(line.substr(3));
-                if (!line.empty() && line.back() == '\r')
-                    line.remove_suffix(1);
-                it.id = line;
-            }
-        }
-        out.push_back(std::move(it));
-        begin = end;
+    stream_event it;
+    std::swap(it, s.begun);
+    for (auto end = s.held.find('\n', searched); end != s.held.npos;
+         end = s.held.find('\n', s.line)) {
+        auto const line =
+            without_cr(std::string_view(s.held).substr(s.line, end - s.line));
+        s.line = end + 1;
+        s.in_event = s.in_event || !line.empty();
+        read_line(trim(line), it);
+        if (!line.empty() || !s.in_event)
+            continue;
+        it.bytes = s.held.substr(begin, s.line - begin);
+        out.push_back(std::exchange(it, {}));
+        s.in_event = false;
+        begin = s.line;
     }
+    std::swap(it, s.begun);
     s.held.erase(0, begin);
+    s.line -= begin;
     return out;
 }
 
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -548,7 +548,7 @@
             {"version", r.version},
             {"attempts", r.attempts},
             {"may_have_run", r.may_have_run},
-            {"chunks", r.chunks.size()},
+            {"chunks", core::chunk_count(r)},
             {"sent", r.sent_chunks},
             {"taken_by", r.taken_by},
             {"deadline", r.deadline}};
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -86,12 +86,12 @@
     out.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
         r.deadline - s.now);
     out.endpoint = r.endpoint;
-    out.version = r.chunks.empty() ? std::string{} : r.version;
+    out.version = chunk_count(r) == 0 ? std::string{} : r.version;
     out.status = r.status;
     out.content_type = r.content_type;
     out.head_sent = r.head_sent;
 #if !PAPAYAHOOK_MUTATION_HAND_OVER_WITHOUT_CHUNKS
-    out.chunks = r.chunks;
+    out.chunks.assign(r.chunks.begin(), r.chunks.end());
 #endif
     out.ended = has_ended(r);
     out.failure = r.failure;
@@ -160,9 +160,8 @@
     r.status = e.status;
     r.content_type = e.content_type;
     r.head_sent = e.head_sent;
-    r.chunks = e.chunks;
-    for (auto const& it : r.chunks)
-        r.held_bytes += it.size();
+    for (auto const& it : e.chunks)
+        hold_chunk(r, it);
     r.first_chunk_seen = !e.chunks.empty();
     r.failure = e.failure;
     r.offer_number = e.offer;
@@ -267,7 +266,7 @@
     s.counts.handed_over++;
     record_decision(s, e.id, "hand_over.give", p.node);
     emit_log_event(out, events::handed_over, e.id, p.node,
-                   std::to_string(r->chunks.size()) + " chunks");
+                   std::to_string(chunk_count(*r)) + " chunks");
     if (r->caller_present)
         out.push_back(relay{e.id, p.caller_address, r->sent_chunks});
     else
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -114,7 +114,9 @@
                     effects& out);
 // Handles the failures for which nothing is left to wait for.
 void release_held_failures(node_state& s, effects& out);
-// Keeps the bytes of the answers that are held below their limit.
+// Appends a chunk to those that are held, and counts its memory.
+void hold_chunk(request_state& r, std::string data);
+// Keeps the memory of the answers that are held below its limit.
 void limit_held_answers(node_state& s, effects& out);
 // Returns whether the answer so far is held from its first chunk on.
 bool holds_whole_answer(request_state const& r);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -170,7 +170,7 @@
                     bool is_home)
 {
     int const prompt =
-        r.request.prompt_tokens + static_cast<int>(r.chunks.size());
+        r.request.prompt_tokens + static_cast<int>(chunk_count(r));
     int cached = cached_tokens(state, r.request);
     // Other nodes send related requests to the same home, so that its cache
     // holds the shared prefix.
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -48,10 +48,54 @@
            (r.request.via_model_path || !r.claim_key.empty());
 }
 
-void drop_chunk(request_state& r, std::string& data)
+// Memory that a chunk takes: the string and its block of the heap.
+std::size_t memory_of(std::string const& chunk)
 {
-    r.held_bytes -= std::min(r.held_bytes, data.size());
-    data = {};
+    constexpr std::size_t inline_capacity = 15;
+    constexpr std::size_t block_overhead = 24; // header, end and rounding
+    return sizeof(std::string) +
+           (chunk.size() > inline_capacity ? chunk.size() + block_overhead : 0);
+}
+
+void drop_first_chunk(request_state& r)
+{
+    r.held_bytes -= memory_of(r.chunks.front());
+    r.chunks.pop_front();
+    r.dropped_chunks++;
+}
+
+void drop_sent_chunks(request_state& r)
+{
+    while (r.dropped_chunks < r.sent_chunks)
+        drop_first_chunk(r);
+}
+
+void drop_early_chunks(request_state& r)
+{
+    r.early_chunks.clear();
+    r.early_bytes = 0;
+}
+
+void hold_early_chunk(node_state const& s, request_state& r,
+                      answer_chunk const& e)
+{
+    auto const bytes = memory_of(e.data);
+    if (r.early_chunks.size() >= max_out_of_order_chunks ||
+        r.early_bytes + bytes > s.settings.max_backlog_bytes)
+        return;
+    if (r.early_chunks.emplace(e.index, e.data).second)
+        r.early_bytes += bytes;
+}
+
+// Moves the chunks that follow the received ones without a gap.
+void take_early_chunks(request_state& r)
+{
+    for (auto it = r.early_chunks.find(chunk_count(r));
+         it != r.early_chunks.end(); it = r.early_chunks.find(chunk_count(r))) {
+        r.early_bytes -= memory_of(it->second);
+        hold_chunk(r, std::move(it->second));
+        r.early_chunks.erase(it);
+    }
 }
 
 void send_pending(node_state& s, request_state& r, effects& out)
@@ -63,13 +107,13 @@
         out.push_back(
             send_head{r.request.id, r.status, r.content_type, r.headers});
     }
-    for (; r.sent_chunks < r.chunks.size(); ++r.sent_chunks) {
-        auto& data = r.chunks[r.sent_chunks];
+    for (; r.sent_chunks < chunk_count(r); ++r.sent_chunks) {
+        auto const& data = r.chunks[r.sent_chunks - r.dropped_chunks];
         out.push_back(send_chunk{r.request.id, r.sent_chunks, data});
         r.undrained_bytes += data.size();
-        if (!retains_chunks(r))
-            drop_chunk(r, data);
     }
+    if (!retains_chunks(r))
+        drop_sent_chunks(r);
     bool const backlogged =
         r.sent_chunks > r.drained_chunks + s.settings.max_backlog ||
         r.undrained_bytes > s.settings.max_backlog_bytes;
@@ -93,7 +137,7 @@
         out.push_back(finish_answer{r.request.id});
     emit_log_event(out, events::request_answered, r.request.id, r.endpoint,
                    "status " + std::to_string(r.status) + ", " +
-                       std::to_string(r.chunks.size()) + " chunks, after " +
+                       std::to_string(chunk_count(r)) + " chunks, after " +
                        milliseconds_text(s.now - r.arrived) + ", calls " +
                        std::to_string(r.attempts));
     count_answer(s, r, r.status >= 500);
@@ -186,7 +230,7 @@
     close_call(s, r);
     // A new version that failed is not tried again for this request, unless
     // part of its answer has already been received.
-    if (r.chunks.empty())
+    if (chunk_count(r) == 0)
         r.version.clear();
     bool const in_time = r.deadline > s.now || r.head_sent;
     if (in_time && may_call_again(s, r) && take_retry_token(s, r)) {
@@ -229,6 +273,12 @@
 
 } // namespace
 
+void hold_chunk(request_state& r, std::string data)
+{
+    r.held_bytes += memory_of(data);
+    r.chunks.push_back(std::move(data));
+}
+
 // The pause holds for this node alone: the endpoint may have room for others.
 void pause_endpoint(node_state& s, std::string const& endpoint,
                     std::chrono::milliseconds pause, std::string why,
@@ -263,7 +313,7 @@
     if (r.call != 0)
         out.push_back(cancel_call{r.call});
     close_call(s, r);
-    r.early_chunks.clear();
+    drop_early_chunks(r);
 }
 
 // Unless it covers the whole answer, the deadline applies to the head. A caller
@@ -283,7 +333,7 @@
     r.phase = request_phase::done;
     r.ended_at = s.now;
     s.last_ended_at = s.now;
-    r.early_chunks.clear();
+    drop_early_chunks(r);
     count_closed(s, r);
 }
 
@@ -292,11 +342,12 @@
 // Keeps the answer so far if the endpoint continues it.
 void begin_answer(node_state const& s, request_state& r, endpoint_kind kind)
 {
-    r.early_chunks.clear();
+    drop_early_chunks(r);
     r.total_chunks.reset();
     r.endpoint_resumes = resumes_streams(s, r, kind);
     if (!r.endpoint_resumes || !r.has_position) {
         r.chunks.clear(); // the new answer replaces one that nobody has seen
+        r.dropped_chunks = 0;
         r.held_bytes = 0;
     }
     r.has_position = true;
@@ -332,11 +383,11 @@
         tokens = std::min(own_retry_burst(s), tokens + s.settings.retry_budget);
         record_latency(s.latency.first_call, s.now - r.arrived);
     }
-    if (!r.chunks.empty()) {
+    if (chunk_count(r) != 0) {
         s.counts.resumed_streams++;
         s.counts.tokens_recomputed +=
             static_cast<std::uint64_t>(r.request.prompt_tokens) +
-            r.chunks.size();
+            chunk_count(r);
     }
     record_prefixes(s, r);
     dispatch it;
@@ -355,7 +406,7 @@
                        ", version " + version + ", configuration " +
                        std::to_string(s.config.applied) + ", waited " +
                        milliseconds_text(s.now - r.arrived));
-    it.resume_chunks = r.chunks;
+    it.resume_chunks.assign(r.chunks.begin(), r.chunks.end());
     // HTTP libraries resend a request on their own when a reused idle
     // connection breaks; on a new connection they do not.
     it.fresh_connection = !r.repeatable || !r.failed_endpoints.empty();
@@ -421,14 +472,13 @@
     r->progress_at = s.now;
     if (r->answering_since == time_point{})
         r->answering_since = s.now;
-    auto const next = r->chunks.size();
+    auto const next = chunk_count(*r);
 #if !PAPAYAHOOK_MUTATION_ACCEPT_ANY_ORDER
     if (e.index < next)
         return; // late or duplicate
 #endif
     if (e.index > next) {
-        if (r->early_chunks.size() < max_out_of_order_chunks)
-            r->early_chunks.emplace(e.index, e.data);
+        hold_early_chunk(s, *r, e);
         return;
     }
     if (!r->first_chunk_seen) {
@@ -440,20 +490,13 @@
         end_prefill(s, *r, true);
         count_usage(s, r->organisation);
     }
-    r->chunks.push_back(e.data);
-    r->held_bytes += e.data.size();
+    hold_chunk(*r, e.data);
     r->has_position = e.has_position;
-    auto it = r->early_chunks.find(r->chunks.size());
-    while (it != r->early_chunks.end()) {
-        r->held_bytes += it->second.size();
-        r->chunks.push_back(std::move(it->second));
-        r->early_chunks.erase(it);
-        it = r->early_chunks.find(r->chunks.size());
-    }
+    take_early_chunks(*r);
     clear_parts_if_harmless(s, *r, out);
     r->phase = request_phase::answering;
     send_pending(s, *r, out);
-    if (r->total_chunks && r->chunks.size() >= *r->total_chunks)
+    if (r->total_chunks && chunk_count(*r) >= *r->total_chunks)
         complete_answer(s, *r, out);
 }
 
@@ -465,7 +508,7 @@
     r->progress_at = s.now;
     r->total_chunks = e.chunks;
     r->framed = e.framed;
-    if (r->chunks.size() >= e.chunks)
+    if (chunk_count(*r) >= e.chunks)
         complete_answer(s, *r, out);
     // Otherwise the progress timeout ends the wait for missing chunks.
 }
@@ -571,7 +614,7 @@
 {
     auto* const r = find_request(s, e.id);
     bool const retained = r != nullptr && holds_whole_answer(*r);
-    if (!retained || e.from > r->chunks.size()) {
+    if (!retained || e.from > chunk_count(*r)) {
         out.push_back(refuse{e.id,
                              {404, outcome::outcome_unknown, step::answer, "",
                               "this node holds no such answer", 0s}});
@@ -586,7 +629,7 @@
         return;
     }
     bool const has_head =
-        r->head_sent || !r->chunks.empty() || r->phase == request_phase::done;
+        r->head_sent || chunk_count(*r) != 0 || r->phase == request_phase::done;
     if (!has_head)
         return; // the head is sent with the first chunk
     r->head_sent = false;
@@ -612,8 +655,7 @@
             break;
         auto& r = s.requests.at(id);
         r.passes_on_only = true;
-        for (std::size_t n = 0; n < r.sent_chunks; ++n)
-            drop_chunk(r, r.chunks[n]);
+        drop_sent_chunks(r);
         sum -= bytes - r.held_bytes;
         emit_log_event(out, events::answer_not_held, id, r.endpoint,
                        std::to_string(bytes) + " bytes, " +
@@ -662,7 +704,7 @@
 {
     r.status = claim.status;
     r.content_type = claim.content_type;
-    r.chunks = {claim.body};
+    hold_chunk(r, claim.body);
     r.sent_chunks = 0;
     send_pending(s, r, out);
     if (r.caller_present)
--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -71,8 +71,10 @@
     std::string body;             // body of an answer that is not streamed
     std::uint64_t next_index = 0; // index of the next chunk
     bool has_position = true;     // see core::answer_chunk
-    // Ids of the events that the caller has, in a call that continues them.
-    std::vector<std::string> passed_ids;
+    // Hashes of the ids of the events that the caller has, in ascending order,
+    // and the newest of the ids, in a call that continues them.
+    std::vector<std::uint64_t> passed_ids;
+    std::optional<std::string> last_id;
 };
 
 class gateway
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -25,15 +25,16 @@
     return it.body.size() + it.events.held.size();
 }
 
-std::vector<std::string> ids_of(std::vector<std::string> const& events)
+void note_passed_ids(gateway_call& out, std::vector<std::string> const& events)
 {
-    std::vector<std::string> out;
     codec::event_splitter s;
     for (auto const& bytes : events)
         for (auto& it : codec::split_events(s, bytes))
-            if (!it.id.empty())
-                out.push_back(std::move(it.id));
-    return out;
+            if (!it.id.empty()) {
+                out.passed_ids.push_back(core::hash_of(it.id));
+                out.last_id = std::move(it.id);
+            }
+    std::ranges::sort(out.passed_ids);
 }
 
 std::optional<std::uint64_t> as_number(std::string const& id)
@@ -49,13 +50,13 @@
 // endpoint does not know the position, and its events are of another run.
 bool is_repeated(gateway_call const& r, std::string const& id)
 {
-    if (r.passed_ids.empty() || id.empty())
+    if (!r.last_id || id.empty())
         return false;
     auto const n = as_number(id);
-    auto const last = as_number(r.passed_ids.back());
+    auto const last = as_number(*r.last_id);
     if (n && last)
         return *n <= *last;
-    return std::ranges::find(r.passed_ids, id) != r.passed_ids.end();
+    return std::ranges::binary_search(r.passed_ids, core::hash_of(id));
 }
 
 } // namespace
@@ -72,14 +73,11 @@
     gateway_call r;
     r.request = it.id;
     r.next_index = it.resume_chunks.size();
-    r.passed_ids = ids_of(it.resume_chunks);
-    std::optional<std::string> last_event;
-    if (!r.passed_ids.empty())
-        last_event = r.passed_ids.back();
+    note_passed_ids(r, it.resume_chunks);
     http_call call;
     call.method = c.request.method;
     call.url = "http://" + it.address + c.request.target;
-    call.headers = codec_.call_headers(c.request, it, last_event);
+    call.headers = codec_.call_headers(c.request, it, r.last_id);
     call.body = c.request.body;
     call.connection_group = it.endpoint + "/" + it.incarnation;
     call.echoed_header = {codec_.request_id, c.request_id};
@@ -161,7 +159,7 @@
         if (is_repeated(r, it.id)) {
             fail_call(n, call,
                       "event " + it.id + ", but the stream continues after " +
-                          r.passed_ids.back());
+                          *r.last_id);
             return;
         }
         // Receivers do not count comments, which therefore may be repeated.
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -412,6 +412,24 @@
     }
 }
 
+// Each would take the memory of an event.
+TEST_CASE("blank lines of a stream are no events of their own")
+{
+    std::string const bytes = "\n\n\r\n\r\ndata: a\n\n\n\r\ndata: b\n\n\n";
+    for (std::size_t step = 1; step <= bytes.size(); ++step) {
+        codec::event_splitter s;
+        std::vector<codec::stream_event> got;
+        for (std::size_t at = 0; at < bytes.size(); at += step)
+            std::ranges::move(codec::split_events(s, bytes.substr(at, step)),
+                              std::back_inserter(got));
+        REQUIRE(got.size() == 2);
+        CHECK(got[0].bytes == "\n\n\r\n\r\ndata: a\n\n");
+        CHECK(got[1].bytes == "\n\r\ndata: b\n\n");
+        CHECK(s.held == "\n");
+        CHECK_FALSE(codec::holds_event(s));
+    }
+}
+
 TEST_CASE("a missing or invalid setting is reported by name")
 {
     std::string const text = "node_name=n\nzone=z\nip=127.0.0.1\n"
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/wire.hpp"
 #include "support/fleet.hpp"
 #include "support/platform_nodes.hpp"
+#include "support/raw_runners.hpp"
 #include "support/world.hpp"
 
 #include <algorithm>
@@ -91,6 +92,80 @@
     return out;
 }
 
+// Routes /s/ (streams) and /r/ (resumable streams) to service "raw", /p/ to
+// "app".
+constexpr char const* streams = R"({"version":1,"routes":[
+{"name":"s","host":"h","path_prefix":"/s/","route_type":"streaming",
+ "timeout_ms":20000,"service":"raw","attempts":1},
+{"name":"r","host":"h","path_prefix":"/r/","route_type":"streaming",
+ "resumable":true,"timeout_ms":20000,"service":"raw","attempts":2},
+{"name":"p","host":"h","path_prefix":"/p/","route_type":"idempotent",
+ "timeout_ms":20000,"service":"app","attempts":2}],
+"services":[{"name":"app","health_path":"/health"},{"name":"raw"}],
+"tenants":[{"name":"acme","api_keys":["k1"]}]})";
+
+// A stream of `bytes` that consist of `unit`, and end with a whole event.
+std::string stream_of(std::string const& unit, std::size_t bytes)
+{
+    std::string body;
+    while (body.size() + unit.size() <= bytes)
+        body += unit;
+    body += "data: end\n\n";
+    return "HTTP/1.1 200 OK\r\n" + std::string(platform::wire::request_id) +
+           ": {id}\r\nContent-Type: text/event-stream\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+constexpr std::size_t long_stream = 16'000'000;
+
+// A node of 260 MB whose callers get streams, one after each path, beside
+// ordinary requests.
+struct stream_platform
+{
+    stream_platform(std::string const& unit)
+        : raw(fake, "raw", {"raw-1"},
+              std::vector(3, stream_of(unit, long_stream)))
+    {
+        fake.put(platform::wire::operator_topic,
+                 platform::wire::configuration_key, streams);
+        fake.add_runner({"i-1", "app"});
+        node = support::settings_of_node("n1", fake, support::free_port());
+        std::ofstream(node.settings, std::ios::app) << "limits.memory_mb=260\n";
+        support::start(node);
+        REQUIRE(support::eventually(10s, [&] { return is_ready(node); }));
+    }
+
+    // Returns the answers to the streams, then those to ten others.
+    std::vector<support::call_outcome>
+    answers_to(std::vector<std::string> const& paths)
+    {
+        std::vector<call_plan> plans;
+        for (auto const& it : paths)
+            plans.push_back(support::request(
+                node, it, "s-" + std::to_string(plans.size())));
+        for (int n = 0; n < 10; ++n) {
+            plans.push_back(
+                support::request(node, "/p/x", "p-" + std::to_string(n)));
+            plans.back().start = n * 200ms;
+        }
+        return support::run_calls(plans);
+    }
+
+    void check_node(std::vector<support::call_outcome> const& answers)
+    {
+        auto const peak = support::usage_of(node.run->id()).peak_bytes;
+        CAPTURE(peak / megabyte);
+        CHECK(node.run->runs());
+        CHECK(peak < 260 * megabyte);
+        CHECK(std::all_of(answers.end() - 10, answers.end(),
+                          [](auto const& it) { return it.status == 200; }));
+    }
+
+    support::platform_fake fake;
+    support::raw_runners raw;
+    support::platform_node node;
+};
+
 // Returns why a chat with a body of this length is refused, if it is.
 std::optional<core::refusal> ask(core::node_state& s, std::string const& id,
                                  std::size_t bytes)
@@ -248,3 +323,26 @@
     auto const n = sockets.front().read_some(asio::buffer(buf), ec);
     CHECK(std::string(buf.data(), n).starts_with("HTTP/1.1 503 "));
 }
+
+TEST_CASE("line ends without end in the body of a stream do not end a node")
+{
+    stream_platform p("\n");
+    p.check_node(p.answers_to({"/s/1"}));
+    stream_platform resumable("\n");
+    resumable.check_node(resumable.answers_to({"/r/1"}));
+}
+
+TEST_CASE("long streams of small events are passed on whole in bounded memory")
+{
+    auto const paths = GENERATE(
+        std::vector<std::string>{"/s/1"}, std::vector<std::string>{"/r/1"},
+        std::vector<std::string>{"/s/1", "/r/1", "/r/2"});
+    stream_platform p(":\n\n");
+    auto const answers = p.answers_to(paths);
+    p.check_node(answers);
+    for (std::size_t n = 0; n < paths.size(); ++n) {
+        CHECK(answers[n].status == 200);
+        CHECK(answers[n].body.size() > long_stream - 20);
+        CHECK(answers[n].body.ends_with("data: end\n\n"));
+    }
+}
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -600,3 +600,27 @@
         CHECK(w.nodes[0].requests.at(id).phase == core::request_phase::done);
     }
 }
+
+// An object was kept for each chunk until the end of the request.
+TEST_CASE("chunks that are sent and need not be held leave nothing behind")
+{
+    auto w = make_world(1);
+    auto& n = w.nodes[0];
+    n.settings.max_held_bytes = 100'000;
+    auto const id = ask_chat(w, 0);
+    auto const call = w.dispatches[0].what.call;
+    give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+    std::size_t most = 0;
+    for (std::uint64_t i = 0; i < 20'000; ++i) {
+        give(w, 0, core::answer_chunk{call, i, "\n\n"});
+        give(w, 0, core::caller_drained{id, i + 1});
+        if (i % 50 == 0)
+            pass_time(w, 50ms);
+        most = std::max(most, n.requests.at(id).chunks.size());
+    }
+    CHECK(most * sizeof(std::string) <= 100'000 + 50 * sizeof(std::string));
+    CHECK(n.requests.at(id).chunks.size() <= 1);
+    CHECK(n.requests.at(id).held_bytes <= 100'000);
+    give(w, 0, core::answer_end{call, 20'000});
+    CHECK(w.ends.at(id).whole);
+}
