Soak: the program alone in a folder, and the platform's own ends

Starts: the program was run in the build's tree, where its library lies beside it. It is now copied alone into a folder of the node and started from another folder with PAPAYAHOOK_SETTINGS alone. PAPAYAHOOK_SOAK_NODE may name files beside the program (PATH:FILE).

Memory: limits.memory_mb was only compared with the peak at the end.

Grace: a process that outlived it got 3 s more, and its end then excused its requests as a SIGKILL does. It is ended at grace_s as the platform does (PROTOCOL.md, The operator's API), and excuses nothing.

--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <linux/close_range.h>
 #include <poll.h>
@@ -53,16 +54,17 @@
 constexpr auto disrupted_for = 10s;
 constexpr int callers_per_node = 16;
 constexpr std::size_t few_descriptors = 280;
-constexpr std::size_t memory_limit_mb = 160;
 constexpr std::size_t extra_descriptors = 40; // kept to runners and peers
 constexpr std::size_t extra_memory = 64 << 20;
 constexpr int shown_of_a_rule = 4;
 // Faults that KNOWN-RED.txt lists: printed, and passed over in the verdict.
 constexpr std::string_view known_red[] = {"BEHIND:", "BEGUN:"};
 constexpr std::size_t fewest_judged = 100; // for a share
+constexpr char program_name[] = "papayahook-node";
 // Streams of dice beside the numbered ones.
 constexpr std::uint64_t at_all_nodes = 1'002;
 constexpr std::uint64_t of_harm = 1'001;
+constexpr std::uint64_t of_limits = 1'003;
 constexpr std::uint64_t of_input_ends = 2'000; // and the caller's number
 // Callers may end their sending side while they wait.
 constexpr bool input_ends = true;
@@ -126,6 +128,7 @@
     milliseconds frozen{0}; // in sum
     int status = -1;        // exit code, or 128 + signal
     bool killed = false;
+    bool over_bound = false;   // and ended by the platform for it
     std::set<int> before_main; // signals that came before its own code ran
     bool ready = false;
     bool late = false;
@@ -140,6 +143,7 @@
     std::string front;
     std::string readiness;
     std::string folder;
+    std::string program;
     std::string settings; // the good text
     std::unique_ptr<proxy> to_store;
     bool planned_only = false;  // no SIGKILL, no freezes
@@ -170,6 +174,7 @@
 struct world
 {
     std::uint64_t seed = 0;
+    std::size_t memory_mb = 0;
     bool few_descriptors = false;
     bool large_bodies = false;
     bool kills = false;
@@ -247,6 +252,21 @@
     ::close(fd);
 }
 
+// Puts a copy of the program into the node's folder, with nothing beside it.
+// PAPAYAHOOK_SOAK_NODE may name another program, and files that it needs.
+void install(node& n)
+{
+    auto const* const chosen = std::getenv("PAPAYAHOOK_SOAK_NODE");
+    std::istringstream files(
+        chosen != nullptr ? chosen : support::program(program_name));
+    std::filesystem::path const folder = n.folder + "/program";
+    std::filesystem::create_directories(folder);
+    n.program = folder / program_name;
+    for (std::string it; std::getline(files, it, ':');)
+        std::filesystem::copy(it,
+                              folder / std::filesystem::path(it).filename());
+}
+
 // Returns once the program runs, so that signals reach it and not the copy of
 // the soak that it is before.
 life& start(world& w, node& n, bool with_pipe)
@@ -258,11 +278,8 @@
     it.name = text(n.name, '.', n.lives.size());
     it.has_pipe = with_pipe;
     auto const log = n.folder + "/log-" + it.name;
-    auto const* const chosen = std::getenv("PAPAYAHOOK_SOAK_NODE");
-    auto program = chosen != nullptr ? std::string(chosen)
-                                     : support::program("papayahook-node");
     auto variable = "PAPAYAHOOK_SETTINGS=" + settings;
-    char* const args[] = {program.data(), nullptr};
+    char* const args[] = {n.program.data(), nullptr};
     char* const environment[] = {variable.data(), nullptr};
     rlimit const descriptors{few_descriptors, few_descriptors};
     int out[2] = {-1, -1};
@@ -279,7 +296,8 @@
         ::dup2(STDOUT_FILENO, STDERR_FILENO);
         // The stand-ins' sockets are not to live on in the node.
         ::close_range(3, ~0U, CLOSE_RANGE_CLOEXEC);
-        ::execve(args[0], args, environment);
+        if (::chdir("/") == 0)
+            ::execve(args[0], args, environment);
         ::_exit(127);
     }
     ::close(runs[1]);
@@ -373,7 +391,7 @@
 void check_end(world& w, life const& it)
 {
     note(w, it.name, " ended with ", it.status);
-    if (it.killed && it.status == 128 + SIGKILL)
+    if ((it.killed || it.over_bound) && it.status == 128 + SIGKILL)
         return;
     if (it.before_main.contains(it.status - 128))
         return;
@@ -381,10 +399,39 @@
         fault(w, "ENDED: ", it.name, " by itself, with ", it.status);
     else if (it.status != 0)
         fault(w, "ENDED: ", it.name, " was told to, with ", it.status);
-    else if (it.ended - it.stopped >
-             grace + slack + it.frozen + stalled(w, it.stopped, it.ended))
-        fault(w, "ENDED: ", it.name, " late, after ",
-              at(w, it.ended) - at(w, it.stopped), " s");
+}
+
+// As the platform ends a process; no disruption that excuses anything.
+template <class... Parts>
+void end_at_bound(world& w, life& it, Parts const&... parts)
+{
+    it.over_bound = true;
+    ::kill(it.pid, SIGKILL);
+    fault(w, "ENDED: ", it.name, ' ', parts...);
+}
+
+std::size_t resident_bytes(pid_t pid)
+{
+    std::ifstream in(text("/proc/", pid, "/statm"));
+    std::size_t size = 0;
+    std::size_t resident = 0;
+    in >> size >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+void limit_memory(world& w)
+{
+    for (; !w.over; std::this_thread::sleep_for(2ms)) {
+        guard const lock(w.mutex);
+        for (auto& n : w.nodes)
+            for (auto& it : n.lives)
+                if (auto const used = it.status < 0 && !it.over_bound
+                                          ? resident_bytes(it.pid)
+                                          : 0;
+                    used > w.memory_mb << 20U)
+                    end_at_bound(w, it, "over its memory of ", w.memory_mb,
+                                 " MB, with ", used >> 10U, " kB");
+    }
 }
 
 // Sees processes of a node end, and get ready or not.
@@ -402,12 +449,9 @@
             check_end(w, it);
         }
         due = std::max({due, it.started, it.thawed});
-        if (it.status < 0 && it.stopped < now && !it.killed &&
-            now - it.stopped >
-                grace + 3 * slack + it.frozen + stalled(w, it.stopped, now)) {
-            fault(w, "ENDED: ", it.name, " not in time; killed");
-            send_signal(w, n, it, SIGKILL);
-        }
+        if (it.status < 0 && it.stopped < now && !it.killed && !it.over_bound &&
+            now - it.stopped > grace + it.frozen + stalled(w, it.stopped, now))
+            end_at_bound(w, it, "not ended within its grace");
         if (it.status < 0 && it.stopped > now && !it.ready && !it.late &&
             now - due > ready_limit) {
             it.late = true;
@@ -1136,7 +1180,7 @@
              n.memory >> 20U, "), peak ", used.peak_bytes >> 20U, " MB");
     note(w, it.name, ": ", seen);
     if (!few || used.resident_bytes > n.memory + extra_memory ||
-        used.peak_bytes > memory_limit_mb << 20U)
+        used.peak_bytes > w.memory_mb << 20U)
         fault(w, "RESOURCES: ", it.name, ": ", seen);
 }
 
@@ -1146,6 +1190,7 @@
     w.large_bodies = d.chance(30);
     w.kills = d.chance(60);
     w.freezes = d.chance(60);
+    w.memory_mb = dice(w.seed, of_limits).chance(50) ? 260 : 160;
     w.folder = support::make_folder(text("soak-", w.seed));
     w.app = std::make_unique<runners>(w.fake, "app", 3, false);
     w.models = std::make_unique<runners>(w.fake, "lm", 2, true);
@@ -1173,8 +1218,8 @@
             "\ncloud_api.duties=usage\nbounds.usage_window_s=1",
             "\nbounds.usage_late_s=2\nbounds.grace_s=", grace.count(),
             "\nlimits.max_fds=", w.few_descriptors ? few_descriptors : 4100,
-            "\nlimits.memory_mb=", memory_limit_mb, "\n");
-        std::filesystem::create_directory(n.folder);
+            "\nlimits.memory_mb=", w.memory_mb, "\n");
+        install(n);
     }
 }
 
@@ -1240,39 +1285,20 @@
     std::cout << std::flush;
 }
 
-// Returns whether the run showed no fault.
-bool soak_once(std::uint64_t seed)
+// Callers and disruptions, and what must hold after them.
+void play(world& w, std::function<dice()> const& fresh)
 {
-    world w;
-    w.seed = seed;
-    std::uint64_t stream = 0;
-    auto const fresh = [&] {
-        return dice(seed, ++stream);
-    };
-    make_world(w, fresh());
-    std::vector<std::thread> watchers;
-    watchers.emplace_back([&w] { watch_machine(w); });
-    for (auto& n : w.nodes) {
-        start(w, n, fresh().chance(40));
-        watchers.emplace_back([&] { watch(w, n); });
-        watchers.emplace_back([&] { follow_readiness(w, n); });
-    }
-    for (auto& n : w.nodes) {
-        gets_ready(w, n.lives.back());
-        n.descriptors = descriptors_of(n.lives.back());
-        n.memory = support::usage_of(n.lives.back().pid).resident_bytes;
-    }
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < callers_per_node * node_count; ++i)
         callers.emplace_back([&w, i, d = fresh()] { call(w, int(i), d); });
-    dice all(seed, at_all_nodes);
+    dice all(w.seed, at_all_nodes);
     w.strikes = all.chance(60);
     strike_all(w, all);
     std::vector<std::thread> others;
     for (auto& n : w.nodes)
         others.emplace_back([&w, &n, d = fresh()] { disrupt(w, n, d); });
     others.emplace_back([&w, d = fresh()] { operate(w, d); });
-    others.emplace_back([&w, seed] { do_harm(w, dice(seed, of_harm)); });
+    others.emplace_back([&w] { do_harm(w, dice(w.seed, of_harm)); });
     std::this_thread::sleep_for(disrupted_for);
     w.calm = true;
     join(others);
@@ -1286,10 +1312,42 @@
     join(callers);
     for (auto& n : w.nodes)
         check_resources(w, n);
+}
+
+// Returns whether the run showed no fault.
+bool soak_once(std::uint64_t seed)
+{
+    world w;
+    w.seed = seed;
+    std::uint64_t stream = 0;
+    auto const fresh = [&] {
+        return dice(seed, ++stream);
+    };
+    make_world(w, fresh());
+    std::vector<std::thread> watchers;
+    watchers.emplace_back([&w] { watch_machine(w); });
+    watchers.emplace_back([&w] { limit_memory(w); });
+    for (auto& n : w.nodes) {
+        start(w, n, fresh().chance(40));
+        watchers.emplace_back([&] { watch(w, n); });
+        watchers.emplace_back([&] { follow_readiness(w, n); });
+    }
+    for (auto& n : w.nodes) {
+        gets_ready(w, n.lives.back());
+        n.descriptors = descriptors_of(n.lives.back());
+        n.memory = support::usage_of(n.lives.back().pid).resident_bytes;
+    }
+    if (std::ranges::any_of(w.nodes,
+                            [](auto const& n) { return n.lives.back().ready; }))
+        play(w, fresh);
+    else
+        fault(w, "START: no node gets ready");
     end_nodes(w);
     w.over = true;
     join(watchers);
     report(w, judge(w));
+    for (auto& n : w.nodes)
+        std::filesystem::remove_all(n.folder + "/program");
     if (w.faults.empty())
         std::filesystem::remove_all(w.folder);
     return w.faults.empty();
