Soak: callers that know PROTOCOL.md alone

Callers saw answers behind a '100 Continue' that nobody had asked for when they ended their sending side; the soak's callers read past interim responses, so they saw nothing. PROTOCOL.md names none. All callers now take the first status line as that of their answer; bytes behind an answer, and a chunk whose size is none, break it too.

--- a/test/soak/plain_http.cpp
+++ b/test/soak/plain_http.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cctype>
 #include <cstdlib>
 #include <poll.h>
 #include <strings.h>
@@ -37,6 +38,8 @@
         if (auto const it = from.fill_to("\r\n"); it != ending::complete)
             return it;
         auto const text = from.take(from.buf.find("\r\n") + 2);
+        if (std::isxdigit(static_cast<unsigned char>(text.front())) == 0)
+            return ending::reset; // bytes that are no chunk
         auto const size = std::strtoul(text.c_str(), nullptr, 16);
         if (auto const it = read_bytes(from, size, body);
             it != ending::complete)
@@ -44,7 +47,7 @@
         if (auto const it = from.fill(2); it != ending::complete)
             return it;
         if (from.take(2) != "\r\n")
-            return ending::reset; // bytes that are no chunk
+            return ending::reset;
         if (size == 0)
             return ending::complete;
     }
@@ -183,8 +186,6 @@
     if (out.end != ending::complete)
         return out;
     out.head = from.take(from.buf.find("\r\n\r\n") + 4);
-    if (status_of(out) / 100 == 1)
-        return read_answer(from);
     auto const length = field(out.head, "Content-Length");
     if (!field(out.head, "Transfer-Encoding").empty())
         out.end = read_chunks(from, out.body);
--- a/test/soak/plain_http.hpp
+++ b/test/soak/plain_http.hpp
@@ -59,7 +59,9 @@
 // Returns the first value of a header; empty when absent.
 std::string field(std::string const& head, std::string const& name);
 int status_of(message const& it);
-// Reads an answer; one without a length ends with its connection.
+// Reads an answer as a client does that knows PROTOCOL.md alone: the first
+// status line is that of its answer, so an interim response is one, too. An
+// answer without a length ends with its connection.
 message read_answer(line& from);
 // Sends one request on a connection of its own.
 message ask(std::string const& address, std::string const& bytes,
--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -164,6 +164,7 @@
     bool whole = false;              // wholly sent
     bool left = false;               // the caller went away
     bool input_ended = false;        // while it waited
+    bool behind_it = false;          // bytes came that belong to no answer
     bool to_ready = false; // the node was, and the caller follows that
     time_point began;
     time_point sent; // and the one before it was answered
@@ -843,6 +844,7 @@
         closes =
             closes || field(it->answer.head, "Connection").starts_with("close");
     }
+    batch.back()->behind_it = usable && !to.buf.empty();
     return usable && !closes && !ends_input;
 }
 
@@ -936,6 +938,10 @@
         return text("TWICE: it ran ", runs.size(), " times");
     if (r.left)
         return {};
+    if (status / 100 == 1)
+        return text("MIXED: an interim response that it did not ask for");
+    if (r.behind_it)
+        return text("MIXED: bytes behind its answer that are none");
     auto const id = field(a.head, wire::request_id);
     if ((!id.empty() || status == 200) && id != r.asked.id)
         return text("MIXED: an answer to ", id);
