--- a/test/soak/runners.cpp
+++ b/test/soak/runners.cpp
@@ -14,12 +14,31 @@
 using runtime::header_value;
 using std::to_string;
 
-std::string event(std::string const& id, int number)
+std::string event(wish const& it, int number)
 {
     auto const n = to_string(number);
+    if (it.kind == 'b')
+        return "\n";
+    if (it.kind == 'f')
+        return "id:" + n + "\ndata:\n\n";
+    auto const& id = it.id;
     return "id: " + n + "\ndata: " + id + "-" + n + "\n\n";
 }
 
+// Events that are sent at once.
+int burst_of(wish const& it)
+{
+    return it.kind == 'b' ? 40'000 : it.kind == 'f' ? 2'500 : 1;
+}
+
+std::string prefix_of(wish const& it)
+{
+    std::string out;
+    for (int n = 0; n < it.parts; ++n)
+        out += n == 0 ? "a:1" : ",a:1";
+    return out;
+}
+
 wish wish_of(runtime::http_request const& in)
 {
     auto const number = [&](char const* name) {
@@ -31,6 +50,7 @@
     out.size = number("n");
     out.work = milliseconds(number("t"));
     out.body = static_cast<std::size_t>(number("b"));
+    out.parts = number("p");
     out.after = std::stoi(
         "0" + std::string(header_value(in.headers, wire::last_event)));
     return out;
@@ -59,7 +79,7 @@
                pattern(it.id, static_cast<std::size_t>(it.size));
     std::string out;
     for (int n = it.after + 1; n <= it.size; ++n)
-        out += event(it.id, n);
+        out += event(it, n);
     return out;
 }
 
@@ -68,11 +88,16 @@
     auto const route = it.route.empty() ? std::string(1, it.kind) : it.route;
     auto out = "POST /" + route + "/x?n=" + to_string(it.size) +
                "&t=" + to_string(it.work.count()) + "&b=" + to_string(it.body) +
-               " HTTP/1.1\r\nHost: h\r\n" + wire::request_id + ": " + it.id +
-               "\r\n" + wire::key + ": " + wire::key_scheme + "k1\r\n";
+               "&p=" + to_string(it.parts) + " HTTP/1.1\r\nHost: h\r\n" +
+               wire::request_id + ": " + it.id + "\r\n" + wire::key + ": " +
+               wire::key_scheme + "k1\r\n";
     if (it.after > 0)
         out +=
             std::string(wire::last_event) + ": " + to_string(it.after) + "\r\n";
+    if (it.parts > 0)
+        out += std::string(wire::prefix) + ": " + prefix_of(it) + "\r\n";
+    for (int left = it.fields; left > 0; --left)
+        out += "x:1\r\n";
     auto const body = pattern(it.id, it.body);
     if (!in_chunks || body.empty())
         return out + "Content-Length: " + to_string(body.size()) + "\r\n\r\n" +
@@ -189,6 +214,8 @@
     }
     if (in.body.get() != pattern(it.id, it.body))
         faults_.push_back("UNASKED: " + it.id + " came with another body");
+    if (header_value(in.headers, wire::prefix) != prefix_of(it))
+        faults_.push_back("UNASKED: " + it.id + " came with another prompt");
     runs_[it.id].push_back({name, clock::now()});
     auto const number_of_run = runs_[it.id].size() - 1;
     headers.emplace_back("Response-Seal", "seal-" + name);
@@ -202,20 +229,24 @@
     send_events(it, it.after + 1, number_of_run, out);
 }
 
-void runners::send_events(wish const& it, int next, std::size_t number_of_run,
+void runners::send_events(wish const& it, int from, std::size_t number_of_run,
                           runtime::responder_ptr const& out)
 {
-    if (next > it.size) {
+    if (from > it.size) {
         out->finish();
         return end_run(it.id, number_of_run);
     }
-    after(it.work, [this, it, next, number_of_run, out] {
-        out->write(event(it.id, next),
-                   [this, it, next, number_of_run, out](auto ec) {
+    after(it.work, [this, it, from, number_of_run, out] {
+        int const to = from + std::min(burst_of(it), it.size - from + 1);
+        std::string events;
+        for (int n = from; n < to; ++n)
+            events += event(it, n);
+        out->write(std::move(events),
+                   [this, it, to, number_of_run, out](auto ec) {
                        if (ec)
                            end_run(it.id, number_of_run);
                        else
-                           send_events(it, next + 1, number_of_run, out);
+                           send_events(it, to, number_of_run, out);
                    });
     });
 }
--- a/test/soak/runners.hpp
+++ b/test/soak/runners.hpp
@@ -12,7 +12,8 @@
 struct wish
 {
     // i: idempotent, o: order, s: stream, r: resumable stream, m: the same of
-    // model runners
+    // model runners, f: a stream of small events at some MB/s, b: blank lines
+    // at that rate until the caller closes
     char kind = 'i';
     std::string id;
     std::string route;    // by its kind if empty
@@ -20,6 +21,8 @@
     int after = 0;        // the last event that the caller has
     milliseconds work{0}; // before the answer, or each event
     std::size_t body = 0; // bytes of the request's body
+    int parts = 0;        // of the prompt, as its head lists them
+    int fields = 0;       // short ones of the head, beside the others
 };
 bool streams(wish const& it);
 std::string pattern(std::string const& id, std::size_t size);
@@ -63,7 +66,7 @@
     void enroll(std::size_t number, char const* state);
     void answer(std::size_t number, runtime::http_request const& in,
                 runtime::responder_ptr const& out);
-    void send_events(wish const& it, int next, std::size_t number_of_run,
+    void send_events(wish const& it, int from, std::size_t number_of_run,
                      runtime::responder_ptr const& out);
     void after(milliseconds delay, std::function<void()> action);
     void end_run(std::string const& id, std::size_t number);
--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <limits>
 #include <linux/close_range.h>
 #include <poll.h>
 #include <random>
@@ -51,8 +52,13 @@
 // Of a processor, for the loader before main(): until then the kernel's
 // default actions hold and a node has nothing to lose.
 constexpr auto before_main = 20ms;
-constexpr auto disrupted_for = 10s;
 constexpr int callers_per_node = 16;
+constexpr std::size_t many_nodes = 12;
+constexpr int callers_of_many = 4; // per node
+constexpr int fast_callers = 2;    // per node
+constexpr std::size_t crowd_size = 3'000;
+// Of a prompt; their heads have 7.8 KB to 16 KB, the most that is allowed.
+constexpr int many_parts[] = {1'900, 2'500, 3'900};
 constexpr std::size_t few_descriptors = 280;
 constexpr std::size_t extra_descriptors = 40; // kept to runners and peers
 constexpr std::size_t extra_memory = 64 << 20;
@@ -65,6 +71,7 @@
 constexpr std::uint64_t at_all_nodes = 1'002;
 constexpr std::uint64_t of_harm = 1'001;
 constexpr std::uint64_t of_limits = 1'003;
+constexpr std::uint64_t of_load = 3'000;       // and more
 constexpr std::uint64_t of_input_ends = 2'000; // and the caller's number
 // Callers may end their sending side while they wait.
 constexpr bool input_ends = true;
@@ -75,9 +82,6 @@
     return it != nullptr ? std::stoull(it) : otherwise;
 }
 
-auto const node_count =
-    static_cast<std::size_t>(number_from("PAPAYAHOOK_SOAK_NODES", 3));
-
 template <class... Parts>
 std::string text(Parts const&... parts)
 {
@@ -128,6 +132,7 @@
     milliseconds frozen{0}; // in sum
     int status = -1;        // exit code, or 128 + signal
     bool killed = false;
+    std::size_t peak = 0;      // of its memory
     bool over_bound = false;   // and ended by the platform for it
     std::set<int> before_main; // signals that came before its own code ran
     bool ready = false;
@@ -175,7 +180,12 @@
 struct world
 {
     std::uint64_t seed = 0;
+    std::chrono::seconds disrupted_for{10};
     std::size_t memory_mb = 0;
+    bool many_nodes = false;
+    bool fast_streams = false;
+    bool long_heads = false;
+    bool storms = false; // of signals
     bool few_descriptors = false;
     bool large_bodies = false;
     bool kills = false;
@@ -391,7 +401,8 @@
 
 void check_end(world& w, life const& it)
 {
-    note(w, it.name, " ended with ", it.status);
+    note(w, it.name, " ended with ", it.status, ", peak ", it.peak >> 20U,
+         " MB");
     if ((it.killed || it.over_bound) && it.status == 128 + SIGKILL)
         return;
     if (it.before_main.contains(it.status - 128))
@@ -426,12 +437,13 @@
         guard const lock(w.mutex);
         for (auto& n : w.nodes)
             for (auto& it : n.lives)
-                if (auto const used = it.status < 0 && !it.over_bound
-                                          ? resident_bytes(it.pid)
-                                          : 0;
-                    used > w.memory_mb << 20U)
-                    end_at_bound(w, it, "over its memory of ", w.memory_mb,
-                                 " MB, with ", used >> 10U, " kB");
+                if (it.status < 0 && !it.over_bound) {
+                    auto const used = resident_bytes(it.pid);
+                    it.peak = std::max(it.peak, used);
+                    if (used > w.memory_mb << 20U)
+                        end_at_bound(w, it, "over its memory of ", w.memory_mb,
+                                     " MB, with ", used >> 10U, " kB");
+                }
     }
 }
 
@@ -575,24 +587,23 @@
         send_signal(w, n, it, SIGHUP);
 }
 
-// Connections that bring no request: reset before they are accepted, after
-// half a head, or kept open for a while.
-void useless_connections(world& w, node& n, dice& d)
+// Connections whose answers nobody reads, reset at once or kept for a while.
+void useless_connections(world& w, node& n, dice& d, milliseconds kept,
+                         int count, std::function<std::string()> const& bytes)
 {
-    bool const resets = d.chance(60);
-    note(w, n.name, " gets connections without a request, ",
-         resets ? "reset" : "kept open");
+    bool const resets = kept == 0ms;
+    note(w, n.name, " gets ", count, " useless connections, kept for ",
+         kept.count(), " ms");
     std::vector<line> all;
-    for (int left = w.few_descriptors ? 300 : 60; left > 0; --left) {
+    for (int left = count; left > 0; --left) {
         auto& it = all.emplace_back(n.front, 100ms);
         if (!it.open())
             break;
-        if (d.chance(30))
-            it.send("POST /i/x HTTP/1.1\r\nHo");
+        it.send(bytes());
         if (resets)
             it.reset();
     }
-    std::this_thread::sleep_for(resets ? 0ms : d.upto(2'000));
+    std::this_thread::sleep_for(kept);
     for (auto& it : all)
         if (it.open() && d.chance(50))
             it.reset();
@@ -628,7 +639,10 @@
              it.output == reader::gone ? "closed" : "not read");
     }
     else {
-        useless_connections(w, n, d);
+        auto const kept = d.chance(60) ? 0ms : d.upto(2'000);
+        useless_connections(w, n, d, kept, w.few_descriptors ? 300 : 60, [&] {
+            return d.chance(30) ? "POST /i/x HTTP/1.1\r\nHo" : "";
+        });
     }
 }
 
@@ -644,6 +658,27 @@
     }
 }
 
+// Signals in series and changes of the settings that overlap one another and
+// all else that happens to the node, starts and stops included.
+void storm(world& w, node& n, dice d)
+{
+    for (; !w.calm; std::this_thread::sleep_for(d.upto(1'500))) {
+        auto const number = d.one_of({SIGHUP, SIGHUP, SIGHUP, SIGUSR1});
+        auto const pause = d.below(10);
+        for (int left = 5 + d.below(40); left > 0; --left) {
+            {
+                guard const lock(w.mutex);
+                for (auto& it : n.lives)
+                    send_signal(w, n, it, number);
+                std::ofstream(n.folder + "/new") << n.settings;
+                std::filesystem::rename(n.folder + "/new",
+                                        n.folder + "/settings");
+            }
+            std::this_thread::sleep_for(d.upto(pause));
+        }
+    }
+}
+
 void publish(world& w)
 {
     guard const lock(w.mutex);
@@ -659,6 +694,8 @@
     add("o", R"(non_idempotent")", "app");
     add("s", R"(streaming")", "app");
     add("r", R"(streaming","resumable":true)", "app");
+    add("f", R"(streaming")", "app");
+    add("b", R"(streaming")", "app");
     add("m", R"(streaming","resumable":true)", "lm");
     add(text("i-", ++w.version), R"(idempotent")", "app");
     w.fake.put(wire::operator_topic, wire::configuration_key,
@@ -880,7 +917,10 @@
         for (bool kept = false; usable && !w.closing; kept = true) {
             std::vector<request*> batch;
             for (int left = d.chance(10) ? 2 : 1; left > 0; --left) {
-                auto& it = new_request(w, n, name, draw_wish(w, d));
+                auto asked = draw_wish(w, d);
+                if (w.long_heads && asked.kind == 'm' && ends.chance(20))
+                    asked.parts = ends.one_of(many_parts);
+                auto& it = new_request(w, n, name, asked);
                 it.kept = kept || !batch.empty();
                 it.to_ready = follows && n.misses == 0;
                 it.before = batch.empty() ? nullptr : batch.back();
@@ -895,6 +935,73 @@
     }
 }
 
+// Streams of some MB/s, of small events or of bytes that are no answer.
+void call_fast(world& w, node const& n, dice d)
+{
+    for (; !w.calm; std::this_thread::sleep_for(d.upto(400))) {
+        wish asked;
+        asked.kind = d.one_of({'f', 'b'});
+        asked.work = 10ms;
+        asked.size = asked.kind == 'f' ? 100'000 + d.below(900'000)
+                                       : std::numeric_limits<int>::max() - 1;
+        line to(n.front, 1s);
+        if (!to.open())
+            continue;
+        auto& it = new_request(w, n, "fast", asked);
+        if (asked.kind == 'f') {
+            exchange(to, {&it}, d, false);
+            auto& [head, body, end] = it.answer;
+            auto const due = answer_to(it.asked);
+            // Bodies are judged here and not kept, as they are large.
+            if (end == ending::complete ? body == due : due.starts_with(body)) {
+                body.clear();
+                it.asked.size = 0;
+            }
+            continue;
+        }
+        it.left = true;
+        to.send(bytes_of(it.asked, false));
+        to.until = clock::now() + 1s + d.upto(4'000);
+        while (to.fill(1) == ending::complete)
+            to.buf.clear();
+    }
+}
+
+// Descriptors that this process may have; raised as far as it goes.
+std::size_t raise_descriptors()
+{
+    rlimit all{};
+    ::getrlimit(RLIMIT_NOFILE, &all);
+    all.rlim_cur = std::min<rlim_t>(all.rlim_max, 20'000);
+    ::setrlimit(RLIMIT_NOFILE, &all);
+    return all.rlim_cur;
+}
+
+// Many callers at once whose heads a decoder turns into more bytes. They do
+// not wait for their answers.
+void crowd(world& w, node& n, dice d)
+{
+    auto const size =
+        std::min(crowd_size, raise_descriptors() / (2 * w.nodes.size()));
+    for (; !w.calm; std::this_thread::sleep_for(d.upto(4'000))) {
+        bool const of_fields = d.chance(40);
+        int const parts = d.one_of(many_parts);
+        auto const ask_for = [&] {
+            wish asked;
+            asked.kind = 'm';
+            asked.size = 20;
+            asked.work = 80ms;
+            (of_fields ? asked.fields : asked.parts) =
+                of_fields ? 4 * parts / 5 : parts;
+            auto& it = new_request(w, n, "crowd", asked);
+            it.left = true;
+            return bytes_of(it.asked, false);
+        };
+        useless_connections(w, n, d, 500ms + d.upto(2'000), int(size),
+                            [&] { return ask_for() + ask_for(); });
+    }
+}
+
 // Judgement
 
 bool disturbed(node const& n, request const& r)
@@ -1196,7 +1303,14 @@
     w.large_bodies = d.chance(30);
     w.kills = d.chance(60);
     w.freezes = d.chance(60);
-    w.memory_mb = dice(w.seed, of_limits).chance(50) ? 260 : 160;
+    dice limits(w.seed, of_limits);
+    w.memory_mb = limits.chance(50) ? 260 : 160;
+    w.fast_streams = limits.chance(50);
+    w.long_heads = limits.chance(50);
+    w.storms = limits.chance(50);
+    w.many_nodes = limits.chance(15);
+    auto const count =
+        number_from("PAPAYAHOOK_SOAK_NODES", w.many_nodes ? many_nodes : 3);
     w.folder = support::make_folder(text("soak-", w.seed));
     w.app = std::make_unique<runners>(w.fake, "app", 3, false);
     w.models = std::make_unique<runners>(w.fake, "lm", 2, true);
@@ -1204,7 +1318,7 @@
     auto const port = [] {
         return int{support::free_port()};
     };
-    for (std::size_t i = 1; i <= node_count; ++i) {
+    for (std::size_t i = 1; i <= count; ++i) {
         auto& n = w.nodes.emplace_back();
         n.name = text("n", i);
         n.front = text("127.0.0.1:", port());
@@ -1268,21 +1382,29 @@
 {
     std::cout << "seed " << w.seed << ": "
               << (w.faults.empty() ? "ok" : "FAILED") << ", " << seen;
-    for (auto const& [drawn, what] :
-         {std::pair{w.few_descriptors, "few descriptors"},
-          {w.large_bodies, "large bodies"},
-          {w.kills, "kills"},
-          {w.freezes, "freezes"},
-          {w.strikes, "all at once"},
-          {w.harms, "connections harmed"},
-          {w.store_fails, "store fails"}})
+    for (auto const& [drawn, what] : {std::pair{w.many_nodes, "many nodes"},
+                                      {w.fast_streams, "fast streams"},
+                                      {w.long_heads, "long heads"},
+                                      {w.storms, "storms of signals"},
+                                      {w.few_descriptors, "few descriptors"},
+                                      {w.large_bodies, "large bodies"},
+                                      {w.kills, "kills"},
+                                      {w.freezes, "freezes"},
+                                      {w.strikes, "all at once"},
+                                      {w.harms, "connections harmed"},
+                                      {w.store_fails, "store fails"}})
         std::cout << (drawn ? text("; ", what) : "");
     std::cout << std::endl;
     for (auto const& it : w.passed_over)
         std::cout << "  known red, passed over: " << it << '\n';
     if (w.faults.empty())
         return;
-    std::cout << w.faults.size() << " faults, logs in " << w.folder << '\n';
+    std::map<std::string, int> rules;
+    for (auto const& it : w.faults)
+        rules[it.substr(0, it.find(':'))]++;
+    for (auto const& [rule, n] : rules)
+        std::cout << rule << ' ' << n << ", ";
+    std::cout << "logs in " << w.folder << '\n';
     for (auto const& it : w.faults)
         std::cout << it << '\n';
     std::cout << "timeline of seed " << w.seed << '\n';
@@ -1291,11 +1413,30 @@
     std::cout << std::flush;
 }
 
+// Starts what some seeds do to each node besides.
+void press(world& w, std::vector<std::thread>& others)
+{
+    auto stream = of_load;
+    for (auto& n : w.nodes) {
+        auto const add = [&](bool wanted, auto const& action) {
+            dice const d(w.seed, ++stream);
+            if (wanted)
+                others.emplace_back([&w, &n, d, action] { action(w, n, d); });
+        };
+        for (int left = fast_callers; left > 0; --left)
+            add(w.fast_streams, call_fast);
+        add(w.long_heads, crowd);
+        add(w.storms, storm);
+    }
+}
+
 // Callers and disruptions, and what must hold after them.
 void play(world& w, std::function<dice()> const& fresh)
 {
     std::vector<std::thread> callers;
-    for (std::size_t i = 0; i < callers_per_node * node_count; ++i)
+    auto const count =
+        w.nodes.size() * (w.many_nodes ? callers_of_many : callers_per_node);
+    for (std::size_t i = 0; i < count; ++i)
         callers.emplace_back([&w, i, d = fresh()] { call(w, int(i), d); });
     dice all(w.seed, at_all_nodes);
     w.strikes = all.chance(60);
@@ -1305,7 +1446,8 @@
         others.emplace_back([&w, &n, d = fresh()] { disrupt(w, n, d); });
     others.emplace_back([&w, d = fresh()] { operate(w, d); });
     others.emplace_back([&w] { do_harm(w, dice(w.seed, of_harm)); });
-    std::this_thread::sleep_for(disrupted_for);
+    press(w, others);
+    std::this_thread::sleep_for(w.disrupted_for);
     w.calm = true;
     join(others);
     strike_all(w, all);
@@ -1321,10 +1463,11 @@
 }
 
 // Returns whether the run showed no fault.
-bool soak_once(std::uint64_t seed)
+bool soak_once(std::uint64_t seed, std::chrono::seconds disrupted_for)
 {
     world w;
     w.seed = seed;
+    w.disrupted_for = disrupted_for;
     std::uint64_t stream = 0;
     auto const fresh = [&] {
         return dice(seed, ++stream);
@@ -1365,18 +1508,19 @@
 {
     auto first = number_from("PAPAYAHOOK_SOAK_SEED", 1);
     auto last = first + number_from("PAPAYAHOOK_SOAK_RUNS", 4) - 1;
-    if (argc == 3 && std::string(argv[1]) == "--seeds") {
-        std::istringstream range(argv[2]);
-        range >> first;
-        last = range.ignore() && range >> last ? last : first;
-    }
-    else if (argc != 1) {
-        std::cerr << "usage: test_soak [--seeds A-B]\n";
-        return 2;
+    std::uint64_t disrupted_for = 10;
+    for (int i = 1; i < argc; i += 2) {
+        std::istringstream value(i + 1 < argc ? argv[i + 1] : "");
+        if (argv[i] == std::string("--seeds") && value >> first)
+            last = value.ignore() && value >> last ? last : first;
+        else if (argv[i] != std::string("--for") || !(value >> disrupted_for)) {
+            std::cerr << "usage: test_soak [--seeds A-B] [--for SECONDS]\n";
+            return 2;
+        }
     }
     int failed = 0;
     for (auto seed = first; seed <= last; ++seed)
-        failed += soak_once(seed) ? 0 : 1;
+        failed += soak_once(seed, std::chrono::seconds(disrupted_for)) ? 0 : 1;
     std::cout << failed << " of " << last - first + 1 << " seeds failed\n";
     return failed == 0 ? 0 : 1;
 }
