--- a/test/start_test.cpp
+++ b/test/start_test.cpp
@@ -439,7 +439,7 @@
 
 TEST_CASE("a fleet starts at once from a store that stays slow")
 {
-    auto const slowness = GENERATE(400ms, 900ms);
+    auto const slowness = GENERATE(400ms, 900ms, 1600ms, 2500ms);
     CAPTURE(slowness.count());
     started_fleet f;
     f.store.state.slowness = slowness;
