Requests: count heads and what they are decoded into

Callers saw answers cut all at once: 4,000 requests of legal size with 2,500 Prefix-Hash entries each took a node over its 260 MB (329,912 kB by the record of the case), and it was killed.

Cause: decode_prompt() makes 20 bytes of an entry of 4, which nothing counted, its lists grew by doubling, and 8 KiB of each head counted for nothing, though a connection may have two requests open. Class: what a decoder makes of bytes is not counted.

Ruled out: arriving requests (their share is counted before the head is whole).

Same cause looked for: endpoint prefixes (8,192 an endpoint) and known parts (4,096) are bounded by number; lists of heads of runners are not counted (they stayed below 21 MB in the incident's reading). Not looked at: tenants, records of the store, peer messages.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -566,7 +566,8 @@
     // Identities of the parts of the prompt that other requests may have as
     // well. Unlike a block, a part is the same wherever it stands.
     std::vector<std::uint64_t> shared_parts;
-    std::size_t body_bytes = 0; // that the runtime holds until the end
+    // Memory that the request takes until its end, of this event as well.
+    std::size_t body_bytes = 0;
 };
 
 // The original HTTP request without the caller's key. The core does not read
@@ -1731,6 +1732,9 @@
 // block_tokens say otherwise.
 inline constexpr int prefix_block_tokens = 16;
 
+// Returns the memory of what an event of a request was decoded into.
+std::size_t memory_of(request_arrived const& it);
+
 std::uint64_t hash_of(std::string_view text);
 std::string digest_of(std::string_view text); // 128 bits, hexadecimal
 
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -244,6 +244,16 @@
     return it.splits.back().pool;
 }
 
+std::size_t memory_of(request_arrived const& it)
+{
+    auto const bytes = [](auto const& list) {
+        return list.size() * sizeof(list.front());
+    };
+    return sizeof(request_state) + it.id.size() + it.key_digest.size() +
+           bytes(it.prefix_blocks) + bytes(it.block_tokens) +
+           bytes(it.shared_parts);
+}
+
 void on_request_arrived(node_state& s, request_arrived const& e, effects& out)
 {
     s.counts.requests++;
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -166,7 +166,7 @@
     r.failure = e.failure;
     r.offer_number = e.offer;
     s.counts.taken_over++;
-    r.request.body_bytes = e.message.body.size();
+    r.request.body_bytes = e.message.body.size() + memory_of(r.request);
     count_open(s, r);
     auto& stored = s.requests[e.request.id] = std::move(r);
     if (e.ended) {
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -87,6 +87,14 @@
         r.early_bytes += bytes;
 }
 
+// An ended request is not routed again.
+void drop_prompt(request_arrived& it)
+{
+    it.prefix_blocks = {};
+    it.block_tokens = {};
+    it.shared_parts = {};
+}
+
 // Moves the chunks that follow the received ones without a gap.
 void take_early_chunks(request_state& r)
 {
@@ -335,6 +343,7 @@
     s.last_ended_at = s.now;
     drop_early_chunks(r);
     count_closed(s, r);
+    drop_prompt(r.request);
 }
 
 namespace {
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -64,7 +64,7 @@
         return;
     }
     auto event = codec_.decode_request(in, id, n.state.config);
-    event.body_bytes = in.memory;
+    event.body_bytes = in.memory + core::memory_of(event);
     open_caller c;
     c.request_id = sent_id;
     auto const route = n.state.config.routes.find(event.route);
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -27,8 +27,6 @@
 // callers must do.
 constexpr std::chrono::hours no_time_limit{24};
 constexpr std::chrono::milliseconds progress_check_period{250};
-// Memory of a head that counts as that of its connection.
-constexpr std::size_t usual_head_memory = 8 * 1024;
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
 // The kernel would take megabytes of answers that a caller does not read, so
 // that requests sent ahead would go on being served.
@@ -355,13 +353,15 @@
     out.body =
         shared_text(std::shared_ptr<std::string const>(request, &in.body()));
     out.connection_id = in.connection_id();
-    std::size_t head = 0;
+    // RESTinio holds the head as well until the answer is sent.
+    std::size_t head =
+        2 * (sizeof out + out.method.size()) + 4 * out.target.size();
     in.header().for_each_field([&](auto const& field) {
         out.headers.emplace_back(field.name(), field.value());
         head += 2 * (field.name().size() + field.value().size() + sizeof field +
                      sizeof out.headers.back());
     });
-    out.memory = out.body.size() + head - std::min(head, usual_head_memory);
+    out.memory = out.body.size() + head;
     return out;
 }
 
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -43,7 +43,7 @@
     std::string target; // path and query as received
     header_list headers;
     shared_text body;
-    std::size_t memory = 0;          // of the body, and of a head that is long
+    std::size_t memory = 0;          // of the body and the head
     std::uint64_t connection_id = 0; // see http_server_options::on_close
 };
 
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -430,6 +430,23 @@
     }
 }
 
+// Legal heads of very many short entries took many times what was counted.
+TEST_CASE("the parts of a prompt count as what they are decoded into")
+{
+    constexpr std::size_t parts = 2'500;
+    runtime::http_request in;
+    std::string list;
+    for (std::size_t n = 0; n < parts; ++n)
+        list += "a:1,";
+    in.headers.emplace_back("Prefix-Hash", list);
+    auto const it = decode_request(in, "id", core::configuration{});
+    REQUIRE(it.prefix_blocks.size() == parts);
+    auto const held = it.prefix_blocks.capacity() * sizeof(std::uint64_t) +
+                      it.block_tokens.capacity() * sizeof(int) +
+                      it.shared_parts.capacity() * sizeof(std::uint64_t);
+    CHECK(core::memory_of(it) >= held);
+}
+
 TEST_CASE("a missing or invalid setting is reported by name")
 {
     std::string const text = "node_name=n\nzone=z\nip=127.0.0.1\n"
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -346,3 +346,29 @@
         CHECK(answers[n].body.ends_with("data: end\n\n"));
     }
 }
+
+TEST_CASE("requests of very many prompt parts do not end a node")
+{
+    constexpr int users = 900;
+    constexpr int parts = 2'500;
+    order_platform p(64, 3s);
+    std::string list;
+    for (int n = 0; n < parts; ++n)
+        list += "a:1,";
+    std::vector<call_plan> plans;
+    for (int n = 0; n < users; ++n) {
+        plans.push_back(order(p, n, 10));
+        plans.back().headers.emplace_back(platform::wire::prefix, list);
+        plans.back().start = 100ms;
+    }
+    for (int n = 0; n < 10; ++n)
+        plans.push_back(order(p, users + n, 10));
+    auto const answers = support::run_calls(plans);
+    auto const n = count_orders(p, answers);
+    CAPTURE(p.peak() / megabyte, n.ran, n.answered, n.refused);
+    CHECK(p.node.run->runs());
+    CHECK(p.peak() < 64 * megabyte);
+    CHECK(n.answered == n.ran);
+    CHECK(std::all_of(answers.begin() + users, answers.end(),
+                      [](auto const& it) { return it.status == 200; }));
+}
