--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -138,7 +138,7 @@
         return;
     }
     auto event = codec_.decode_request(in, it.id, n.state.config);
-    event.body_bytes = in.memory;
+    event.body_bytes = in.memory + core::memory_of(event);
     open_caller c;
     c.request_id = sent_id;
     auto const route = n.state.config.routes.find(event.route);
