Callers: an answer is sent before bytes that are no request end its connection

Bytes that are no request, sent behind one whose answer was awaited, ended the connection without that answer, while its runner was at work. A request behind one with "Connection: close" was passed on to a runner, and its answer lost.

Cause: RESTinio closes at once at what it cannot parse, and parses on behind the last request of a connection.

Change: what does not begin as one of the usual methods is held until the answers of the connection are written, and so watched for a caller that closes as the end of the input is. Other methods are held as well, and read then. What follows the last request of a connection is neither handled nor counted.

Not mended: what is no request in one piece with a request, or begins as one ("GET x"), still ends the connection at once; RESTinio parses all it has read.

Looked at, not shown: close_slow() after a standstill of the process.

--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <asio/steady_timer.hpp>
-#include <cctype>
 #include <cerrno>
 #include <netinet/tcp.h>
 #include <string_view>
@@ -75,16 +74,16 @@
 // The size of a chunk may have leading zeros (RFC 9112, 7.1).
 constexpr std::string_view leading_zero = "0";
 
-// The machine of a caller that has closed its connection resets it when it
-// receives anything more.
-bool is_reset(asio::ip::tcp::socket& it)
+// TCP_CLOSE: the connection was reset; TCP_CLOSE_WAIT: the caller has ended its
+// input. Not known counts as reset.
+int tcp_state(asio::ip::tcp::socket& it)
 {
     tcp_info info{};
     socklen_t size = sizeof info;
     bool const known = ::getsockopt(it.native_handle(), IPPROTO_TCP, TCP_INFO,
                                     &info, &size) == 0 &&
                        info.tcpi_state != 0;
-    return !known || info.tcpi_state == TCP_CLOSE;
+    return known ? int{info.tcpi_state} : int{TCP_CLOSE};
 }
 
 // Lives as long as its timer is pending.
@@ -96,7 +95,6 @@
           end_(std::move(end)), answer_(std::make_shared<held_read>())
     {
         reader_->held = answer_;
-        reader_->input_ended = true;
     }
 
     // Also after each write.
@@ -109,7 +107,8 @@
             std::exchange(end_, nullptr)();
             return;
         }
-        send_early();
+        if (has_ended_input())
+            send_early();
         answer_->run = [it = weak_from_this()] {
             if (auto const watch = it.lock())
                 watch->look();
@@ -136,10 +135,22 @@
         auto const& r = *reader_;
         bool const is_answered = r.open_request.expired() && r.writes == 0;
         return is_answered || r.given_up || r.socket == nullptr ||
-               !r.socket->is_open() || cannot_send_ || is_reset(*r.socket);
+               !r.socket->is_open() || cannot_send_ ||
+               tcp_state(*r.socket) == TCP_CLOSE;
     }
 
-    // Whatever arrives there resets a closed connection. Unlike an interim
+    bool has_ended_input()
+    {
+        auto& r = *reader_;
+        if (!r.input_ended && tcp_state(*r.socket) == TCP_CLOSE_WAIT) {
+            r.input_ended = true;
+            ended_ = clock::now();
+        }
+        return r.input_ended;
+    }
+
+    // The machine of a closed connection resets it when it receives anything.
+    // Unlike an interim
     // response, the beginning of what comes next is expected by every caller.
     void send_early()
     {
@@ -174,6 +185,20 @@
     bool cannot_send_ = false;
 };
 
+// Other methods are read when no answer is awaited.
+bool begins_request(std::string_view it)
+{
+    constexpr std::string_view line_ends = "\r\n";
+    constexpr std::array<std::string_view, 9> methods{
+        "GET ",     "HEAD ",    "POST ",  "PUT ",  "DELETE ",
+        "CONNECT ", "OPTIONS ", "TRACE ", "PATCH "};
+    it.remove_prefix(std::min(it.find_first_not_of(line_ends), it.size()));
+    return std::ranges::any_of(methods, [it](auto method) {
+        auto const n = std::min(it.size(), method.size());
+        return it.substr(0, n) == method.substr(0, n);
+    });
+}
+
 // How readily a connection makes place for a new one, and since when it could;
 // 0: not at all.
 std::pair<int, clock::duration> place_rank(request_reader const& it,
@@ -399,15 +424,29 @@
             it->socket->close();
 }
 
-std::shared_ptr<void> arriving_requests::complete()
+bool arriving_requests::ignores()
+{
+    if (current == nullptr || !current->has_last)
+        return false;
+    end_arrival(*current);
+    return true;
+}
+
+void arriving_requests::end_arrival(request_reader& it)
+{
+    release(it);
+    it.head_bytes = 0;
+    it.head_read = it.in.active = false;
+}
+
+std::shared_ptr<void> arriving_requests::complete(bool is_last)
 {
     if (current == nullptr)
         return {};
     auto& it = *current;
-    bytes_ -= std::exchange(it.bytes, 0);
-    it.head_bytes = 0;
-    it.head_read = it.in.active = false;
+    end_arrival(it);
     it.served = true;
+    it.has_last = is_last;
     bool const ahead = !it.open_request.expired();
     if (ahead && !it.sends_ahead)
         it.ahead_since = clock::now();
@@ -482,11 +521,7 @@
 bool counted_socket::waits(request_reader const& r, std::error_code ec,
                            std::string_view in)
 {
-    auto const begins_request = [&] {
-        auto const c = static_cast<unsigned char>(in.empty() ? 0 : in.front());
-        return std::isupper(c) != 0 || c == '\r' || c == '\n';
-    };
-    bool const is_request = !ec && (r.in.active || begins_request());
+    bool const is_request = !ec && (r.in.active || begins_request(in));
     return r.writes != 0 && !r.given_up && !is_request &&
            ec != asio::error::operation_aborted;
 }
@@ -496,9 +531,14 @@
     return std::exchange(r.sent_early, 0);
 }
 
-bool counted_socket::may_still_read(request_reader const& r, std::error_code ec)
+// RESTinio closes the connection at the end of the input, and at bytes that are
+// no request.
+bool counted_socket::may_still_read(request_reader const& r, std::error_code ec,
+                                    std::string_view in)
 {
-    return ec == asio::error::eof && !r.given_up && !r.open_request.expired() &&
+    bool const ends =
+        ec == asio::error::eof || (!ec && !r.in.active && !begins_request(in));
+    return ends && !r.given_up && !r.open_request.expired() &&
            r.socket != nullptr && r.socket->is_open();
 }
 
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -104,6 +104,7 @@
     std::error_code failed; // the first error of a read or write
     bool told_why = false;  // a connection that is given up is answered 503
     bool served = false;    // it has sent a whole request
+    bool has_last = false;  // the connection closes after the newest one
     // It sends requests before it has the answers to earlier ones, since then.
     bool sends_ahead = false;
     clock::time_point ahead_since{};
@@ -162,7 +163,11 @@
     void close_slow(progress_rules const& of);
     // The connection whose read is being handled has a whole request, which is
     // open until the result and its copies are destroyed.
-    std::shared_ptr<void> complete();
+    // `is_last`: the connection closes after its answer.
+    std::shared_ptr<void> complete(bool is_last);
+    // The connection whose read is being handled has a request that follows the
+    // last one, which gets no answer.
+    bool ignores();
 
     // Closes the connections whose last answer is still on its way.
     void end_answers();
@@ -174,14 +179,16 @@
     friend struct request_reader;
 
     void give_up(request_reader& it, close_reason why);
+    void end_arrival(request_reader& it);
 
     std::set<request_reader*> readers_;
     std::size_t bytes_ = 0;
     std::size_t unwritten_ = 0;
 };
 
-// The caller has ended its input while it waits for an answer. Calls `end` once
-// the answer is written, or the caller turns out to have closed its connection.
+// The caller has ended its input, or sent no request, while it waits for an
+// answer. Calls `end` once the answer is written, or the caller turns out to
+// have closed its connection.
 void watch_caller(request_reader_ptr const& it, std::function<void()> end);
 
 // A socket whose reads and writes are counted, and which is closed gracefully.
@@ -309,7 +316,7 @@
             it->run = [this, r, ec, in, handler] {
                 receive(r, ec, in, handler);
             };
-        else if (may_still_read(*r, ec))
+        else if (may_still_read(*r, ec, in))
             watch_caller(r, [this, r, ec, in, handler] {
                 finish_read(*r, ec, in.size(), handler);
             });
@@ -349,7 +356,8 @@
     static std::size_t take_sent_early(request_reader& r);
     static bool waits(request_reader const& r, std::error_code ec,
                       std::string_view in);
-    static bool may_still_read(request_reader const& r, std::error_code ec);
+    static bool may_still_read(request_reader const& r, std::error_code ec,
+                               std::string_view in);
     static void deliver(held_read& it);
 
     std::shared_ptr<progress_rules const> rules_;
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -551,9 +551,12 @@
         .connection_state_listener(impl_->listener)
         .request_handler([on_request = std::move(on_request), arriving,
                           unwritten = options.unwritten](auto request) {
+            if (arriving->ignores())
+                return restinio::request_accepted();
+            bool const is_last = !request->header().should_keep_alive();
             auto in = convert(request);
             auto out = std::make_shared<responder>(
-                std::move(request), unwritten, arriving->complete());
+                std::move(request), unwritten, arriving->complete(is_last));
             // RESTinio would close the connection without a word.
             if (!run_guarded("request",
                              [&] { on_request(std::move(in), out); }))
--- a/test/ends_test.cpp
+++ b/test/ends_test.cpp
@@ -132,3 +132,43 @@
     if (stops)
         CHECK(node.run->wait(10s) == 0);
 }
+
+TEST_CASE("an answer is sent though its caller sends no request behind its own")
+{
+    auto const follows =
+        GENERATE(std::string("no request\r\n\r\n"),
+                 std::string("XX yy\r\n\r\n"), std::string("\x16\x03\x01"));
+    bool const streams = GENERATE(false, true);
+    bool const ends_sending = GENERATE(false, true);
+    CAPTURE(follows, streams, ends_sending);
+    small_platform p;
+    put_routes(p);
+    std::this_thread::sleep_for(2s); // until the records are read
+    plain_client it(p.nodes[0].front);
+    it.send(request_text(streams ? "/s/x" : "/p/x", "one"));
+    std::this_thread::sleep_for(200ms);
+    it.send(follows);
+    if (ends_sending)
+        it.end_sending();
+    check_answer(it.read(5s), streams ? whole_stream : "answer to one");
+    CHECK(it.ends(2s));
+}
+
+TEST_CASE("a request behind one with Connection: close is not run")
+{
+    bool const at_once = GENERATE(true, false);
+    CAPTURE(at_once);
+    small_platform p;
+    put_routes(p);
+    raw_runners raw(p.fake, "raw", {"i-7", "i-8"}, {small_answer});
+    std::this_thread::sleep_for(2s); // until the records are read
+    plain_client it(p.nodes[0].front);
+    it.send(request_text("/p/x", "one", "Connection: close\r\n") +
+            (at_once ? request_text("/raw/x", "two") : ""));
+    std::this_thread::sleep_for(200ms);
+    if (!at_once)
+        it.send(request_text("/raw/x", "two"));
+    check_answer(it.read(5s), "answer to one");
+    CHECK(it.ends(2s));
+    CHECK(raw.requests() == 0);
+}
