Answers whose caller has gone, or that wait to be continued, and the limit of memory

And the limit took what has been sent from a stream that waited in a queue to be continued, so that the next call began anew within the same answer.

Cause: the limit of held answers drops sent chunks alone, from any request. Class: what is kept is not what the limit acts on.

Change: without a caller, and once the limit has chosen the answer, its chunks are dropped as they come, since nobody can fetch the whole any more. An answer that waits for its rest is left out of the choice; it does not grow meanwhile.

test_core, before: "an answer whose caller has gone takes bounded memory", 2112000 <= 200000; "a stream that waits to be continued keeps what it has so far", 0 == 10. After: both pass.

--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -106,10 +106,19 @@
     }
 }
 
+void drop_all_chunks(request_state& r)
+{
+    r.sent_chunks = chunk_count(r);
+    drop_sent_chunks(r);
+}
+
 void send_pending(node_state& s, request_state& r, effects& out)
 {
-    if (!r.caller_present)
+    if (!r.caller_present) {
+        if (r.passes_on_only)
+            drop_all_chunks(r); // nobody can fetch the answer
         return;
+    }
     if (!r.head_sent) {
         r.head_sent = true;
         out.push_back(
@@ -647,6 +656,16 @@
         out.push_back(finish_answer{e.id});
 }
 
+namespace {
+
+// The call that is to continue the answer needs what it has so far.
+bool awaits_rest(request_state const& r)
+{
+    return r.call == 0 && r.head_sent && r.phase != request_phase::done;
+}
+
+} // namespace
+
 void limit_held_answers(node_state& s, effects& out)
 {
     std::size_t sum = 0;
@@ -656,7 +675,7 @@
         return;
     std::vector<std::pair<std::size_t, request_id>> held;
     for (auto const& [id, r] : s.requests)
-        if (r.held_bytes > 0 && !r.passes_on_only)
+        if (r.held_bytes > 0 && !r.passes_on_only && !awaits_rest(r))
             held.emplace_back(r.held_bytes, id);
     std::ranges::sort(held, std::greater{});
     for (auto const& [bytes, id] : held) {
@@ -664,7 +683,10 @@
             break;
         auto& r = s.requests.at(id);
         r.passes_on_only = true;
-        drop_sent_chunks(r);
+        if (r.caller_present)
+            drop_sent_chunks(r);
+        else
+            drop_all_chunks(r);
         sum -= bytes - r.held_bytes;
         emit_log_event(out, events::answer_not_held, id, r.endpoint,
                        std::to_string(bytes) + " bytes, " +
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -624,3 +624,46 @@
     give(w, 0, core::answer_end{call, 20'000});
     CHECK(w.ends.at(id).whole);
 }
+
+TEST_CASE("an answer whose caller has gone takes bounded memory")
+{
+    auto w = make_world(1);
+    auto& n = w.nodes[0];
+    n.settings.max_held_bytes = 100'000;
+    auto const id = ask_chat(w, 0);
+    auto const call = w.dispatches[0].what.call;
+    n.requests.at(id).request.run_without_caller = true;
+    give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+    give(w, 0, core::caller_gone{id});
+    std::string const event(1'000, 'x');
+    std::size_t most = 0;
+    for (std::uint64_t i = 0; i < 2'000; ++i) {
+        give(w, 0, core::answer_chunk{call, i, event});
+        if (i % 50 == 0)
+            pass_time(w, 50ms);
+        most = std::max(most, n.requests.at(id).held_bytes);
+    }
+    CHECK(most <= 100'000 + 2 * 50 * event.size());
+    give(w, 0, core::answer_end{call, 2'000});
+    CHECK(n.requests.at(id).phase == core::request_phase::done);
+}
+
+TEST_CASE("a stream that waits to be continued keeps what it has so far")
+{
+    auto w = make_world(1);
+    auto& n = w.nodes[0];
+    n.settings.max_held_bytes = 100;
+    auto const id = ask_chat(w, 0);
+    auto const call = w.dispatches[0].what.call;
+    w.dispatches.clear();
+    for (auto const* const name : {"r1", "r2"})
+        n.endpoints[name].paused_until = w.now + 1s;
+    give(w, 0, core::answer_head{call, 200, "text/event-stream"});
+    for (std::uint64_t i = 0; i < 10; ++i)
+        give(w, 0, core::answer_chunk{call, i, token(id, i)});
+    give(w, 0, core::call_failed{call, core::step::receive, true, "cut off"});
+    REQUIRE(w.dispatches.empty());
+    pass_time(w, 2s);
+    REQUIRE(w.dispatches.size() == 1);
+    CHECK(w.dispatches[0].what.resume_chunks.size() == 10);
+}
