Answers: events on a route that does not stream are sent whole

Callers of such a route saw 504 after the whole deadline (20 s in the test) where the runner's answer was an event stream of more than 256 events.

Cause: the media type of the runner alone made an answer a stream. Each event was a chunk that waits to be read, but the caller's side of a route that does not stream writes nothing before the end: after max_backlog chunks the call was paused, and nothing resumed it. Class: a pause whose end waits for what it holds up. Looked for: the other pause (undrained bytes) has the same cause and is mended with it; on routes that stream each flush reports what was written.

Evidence (code before): "events on a route that does not stream are answered whole": 504 after 20,032,850 us. Ruled out: memory (peak below 260 MB).

Change: an answer is a stream if its route streams as well; others are buffered whole, which gateway::make_room() bounds.

--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -72,6 +72,7 @@
     auto const& c = found->second;
     gateway_call r;
     r.request = it.id;
+    r.streams = c.streams;
     r.next_index = it.resume_chunks.size();
     note_passed_ids(r, it.resume_chunks);
     http_call call;
@@ -127,7 +128,9 @@
         return;
     auto& r = found->second;
     r.head = codec_.decode_head(call, status, headers);
-    r.streams = status == 200 && !r.head.not_run &&
+    // Where the answer is sent whole, nothing is written before its end, and a
+    // stream that waits for its events to be read would never continue.
+    r.streams = r.streams && status == 200 && !r.head.not_run &&
                 r.head.content_type.starts_with(event_stream_type);
 }
 
--- a/test/request_memory_test.cpp
+++ b/test/request_memory_test.cpp
@@ -99,6 +99,8 @@
  "timeout_ms":20000,"service":"raw","attempts":1},
 {"name":"r","host":"h","path_prefix":"/r/","route_type":"streaming",
  "resumable":true,"timeout_ms":20000,"service":"raw","attempts":2},
+{"name":"w","host":"h","path_prefix":"/w/","route_type":"idempotent",
+ "timeout_ms":20000,"service":"raw","attempts":1},
 {"name":"p","host":"h","path_prefix":"/p/","route_type":"idempotent",
  "timeout_ms":20000,"service":"app","attempts":2}],
 "services":[{"name":"app","health_path":"/health"},{"name":"raw"}],
@@ -140,6 +142,7 @@
     answers_to(std::vector<std::string> const& paths)
     {
         std::vector<call_plan> plans;
+        plans.reserve(paths.size() + 10);
         for (auto const& it : paths)
             plans.push_back(support::request(
                 node, it, "s-" + std::to_string(plans.size())));
@@ -372,3 +375,14 @@
     CHECK(std::all_of(answers.begin() + users, answers.end(),
                       [](auto const& it) { return it.status == 200; }));
 }
+
+// The call was paused after some events, and nothing resumed it.
+TEST_CASE("events on a route that does not stream are answered whole")
+{
+    stream_platform p("data: x\n\n");
+    auto const answers = p.answers_to({"/w/1"});
+    p.check_node(answers);
+    CHECK(answers[0].status == 200);
+    CHECK(answers[0].body.size() > long_stream - 20);
+    CHECK(answers[0].body.ends_with("data: end\n\n"));
+}
