Callers: what is open is answered before its connection makes place

A connection with requests sent ahead that had to make place for a new one was closed at its next read, without the answers to those that were open. With two open RESTinio did not read; since it does, so that a third request or the end of the input closed the connection at once. Without either it stayed open after its answers until its caller moved.

Cause: giving up counted as an end whatever was open. Class: an end of a connection that does not know what is awaited.

Change: a connection that makes place with requests open holds what it reads until these are answered, and is closed then (at the next check), gracefully.

Evidence: "requests that are open are answered though their connection makes place", before: sends_more := true: CHECK( take_answer(answers).body == "whole" ) "" == "whole" sends_more := false: CHECK( s.serve_until(2s, [&] { return s.closed; }) ) false After: passes.

Not changed: a slow reader that makes place is not looked at again while its answer is not read.

--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -134,7 +134,7 @@
     {
         auto const& r = *reader_;
         bool const is_answered = r.open_request.expired() && r.writes == 0;
-        return is_answered || r.given_up || r.socket == nullptr ||
+        return is_answered || r.is_cut() || r.socket == nullptr ||
                !r.socket->is_open() || cannot_send_ ||
                tcp_state(*r.socket) == TCP_CLOSE;
     }
@@ -283,6 +283,11 @@
     return now - std::max(in.progress, out.progress);
 }
 
+bool request_reader::is_cut() const
+{
+    return given_up && (!finishes || open_request.expired());
+}
+
 bool request_reader::is_idle() const
 {
     return !in.active && open_request.expired();
@@ -375,8 +380,13 @@
 {
     auto const now = clock::now();
     for (auto* const it : readers_) {
-        if (it->rules.get() != &of || it->given_up || it->socket == nullptr)
+        if (it->rules.get() != &of || it->socket == nullptr)
             continue;
+        if (it->given_up) {
+            if (it->finishes && it->is_cut())
+                it->stop.emit(asio::cancellation_type::terminal);
+            continue;
+        }
         if (it->out.is_slow(of.write_timeout, of.min_rate, now))
             give_up(*it, close_reason::slow_reader);
         else if (!it->open_request.expired())
@@ -391,8 +401,8 @@
     }
 }
 
-// A connection that makes place with requests open is closed at its next read,
-// and with it those that its caller has sent beyond these.
+// A connection that makes place with requests open is closed when these are
+// answered, and with it those that its caller has sent beyond them.
 // RESTinio frees what it holds when it closes the connection, which it does on
 // an error of the read or write. The read that is cancelled is answered 503;
 // that connections make place, or are idle, is no answer to a request.
@@ -411,8 +421,9 @@
     std::error_code ec; // it may be closed
     if (it.told_why)
         it.stop.emit(asio::cancellation_type::terminal);
-    else if (it.socket != nullptr &&
-             (why != close_reason::room || it.open_request.expired()))
+    else if (it.finishes =
+                 why == close_reason::room && !it.open_request.expired();
+             it.socket != nullptr && !it.finishes)
         it.socket->end_both_ways(ec);
 }
 
@@ -522,7 +533,7 @@
                            std::string_view in)
 {
     bool const is_request = !ec && (r.in.active || begins_request(in));
-    return r.writes != 0 && !r.given_up && !is_request &&
+    return r.writes != 0 && !r.is_cut() && !is_request &&
            ec != asio::error::operation_aborted;
 }
 
@@ -537,8 +548,9 @@
                                     std::string_view in)
 {
     bool const ends =
-        ec == asio::error::eof || (!ec && !r.in.active && !begins_request(in));
-    return ends && !r.given_up && !r.open_request.expired() &&
+        ec == asio::error::eof ||
+        (!ec && (r.given_up || (!r.in.active && !begins_request(in))));
+    return ends && !r.is_cut() && !r.open_request.expired() &&
            r.socket != nullptr && r.socket->is_open();
 }
 
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -96,11 +96,14 @@
     // Neither is a request arriving, nor one open.
     bool is_idle() const;
     clock::duration idle_time(clock::time_point now) const;
+    // It is given up, and no answer is awaited that is still to be sent.
+    bool is_cut() const;
 
     std::shared_ptr<arriving_requests> all;
     std::shared_ptr<progress_rules const> rules; // null: none
     counted_socket* socket = nullptr;            // while it exists
     bool given_up = false;
+    bool finishes = false;  // it is given up once its answers are written
     std::error_code failed; // the first error of a read or write
     bool told_why = false;  // a connection that is given up is answered 503
     bool served = false;    // it has sent a whole request
@@ -230,7 +233,7 @@
         std::error_code ec; // ignored: the connection ends anyway
         cancel(ec);
         // A caller that breaks the rules must not keep the descriptor.
-        if (reader_ && reader_->given_up) {
+        if (reader_ && reader_->given_up && !reader_->finishes) {
             asio::ip::tcp::socket::close(ec);
             held_.reset();
             return;
--- a/test/lifecycle_test.cpp
+++ b/test/lifecycle_test.cpp
@@ -657,8 +657,10 @@
 {
     explicit own_server(runtime::http_server::handler on_request,
                         std::chrono::milliseconds timeout = 300ms,
-                        std::size_t max_unwritten = 64'000'000)
+                        std::size_t max_unwritten = 64'000'000,
+                        std::size_t max_connections = 4'096)
     {
+        options.max_connections = max_connections;
         options.max_unwritten_bytes = max_unwritten;
         options.port = free_port();
         options.idle_timeout = options.write_timeout = timeout;
@@ -946,6 +948,35 @@
     CHECK(take_answer(bytes).fault == "no size of a chunk");
 }
 
+TEST_CASE("requests that are open are answered though their connection makes "
+          "place")
+{
+    std::vector<runtime::responder_ptr> waiting;
+    own_server s([&](auto const&, auto const& out) { waiting.push_back(out); },
+                 10s, 64'000'000, 1);
+    s.send(small_request + small_request);
+    REQUIRE(s.serve_until(5s, [&] { return waiting.size() == 2; }));
+    s.serve_until(1'200ms, [&] { return s.closed; });
+    asio::ip::tcp::socket other(s.io);
+    other.connect(endpoint_of("127.0.0.1:" + std::to_string(s.options.port)));
+    s.serve_until(300ms, [&] { return s.closed; });
+    bool const sends_more = GENERATE(true, false);
+    CAPTURE(sends_more);
+    if (sends_more)
+        s.send(small_request);
+    s.serve_until(300ms, [&] { return s.closed; });
+    for (auto const& it : waiting)
+        answer_whole(*it, false);
+    waiting.clear();
+    CHECK(s.serve_until(2s, [&] { return s.closed; }));
+    s.serve_until(300ms, [] { return false; });
+    auto answers = s.read_all();
+    CAPTURE(answers);
+    for (int i = 0; i < 2; ++i)
+        CHECK(take_answer(answers).body == "whole");
+    CHECK(answers.empty());
+}
+
 // RESTinio reads nothing behind a request to upgrade.
 TEST_CASE("a request that follows one with an Upgrade header is answered")
 {
