--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1734,6 +1734,8 @@
 
 // Returns the memory of what an event of a request was decoded into.
 std::size_t memory_of(request_arrived const& it);
+// Makes room for the parts of its prompt, and no more.
+void reserve_parts(request_arrived& it, std::size_t parts);
 
 std::uint64_t hash_of(std::string_view text);
 std::string digest_of(std::string_view text); // 128 bits, hexadecimal
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -244,6 +244,13 @@
     return it.splits.back().pool;
 }
 
+void reserve_parts(request_arrived& it, std::size_t parts)
+{
+    it.prefix_blocks.reserve(parts);
+    it.block_tokens.reserve(parts);
+    it.shared_parts.reserve(parts);
+}
+
 std::size_t memory_of(request_arrived const& it)
 {
     auto const bytes = [](auto const& list) {
