Callers: what a connection that is given up still finishes is set by a statement

The last reading found an assignment inside of an if, and bytes released by hand beside release(), which does the same. Behaviour stays: a reason that is told is never that of making place, so `finishes` is false there as before.

--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -414,16 +414,15 @@
                    " of " + std::to_string(unwritten_) + " not yet written"});
     ++closed.at(static_cast<std::size_t>(why));
     it.given_up = true;
-    bytes_ -= std::exchange(it.bytes, 0);
+    release(it);
     it.told_why = it.open_request.expired() && it.writes == 0 &&
                   it.sent_early == 0 && why != close_reason::room &&
                   why != close_reason::idle;
+    it.finishes = why == close_reason::room && !it.open_request.expired();
     std::error_code ec; // it may be closed
     if (it.told_why)
         it.stop.emit(asio::cancellation_type::terminal);
-    else if (it.finishes =
-                 why == close_reason::room && !it.open_request.expired();
-             it.socket != nullptr && !it.finishes)
+    else if (it.socket != nullptr && !it.finishes)
         it.socket->end_both_ways(ec);
 }
 
