--- a/src/codec/text.hpp
+++ b/src/codec/text.hpp
@@ -1,7 +1,9 @@
 // Text helpers that several decoders share.
 #pragma once
 
+#include <charconv>
 #include <chrono>
+#include <concepts>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +17,17 @@
 // Returns the trimmed parts between separators; none for an empty text.
 std::vector<std::string_view> split(std::string_view text, char separator);
 
+// Returns nullopt unless the whole text is a number that T can hold.
+template <std::integral T>
+std::optional<T> parse_number(std::string_view text, int base = 10)
+{
+    T out{};
+    auto const* const last = text.data() + text.size();
+    auto const [end, ec] = std::from_chars(text.data(), last, out, base);
+    bool const valid = ec == std::errc{} && end == last;
+    return valid ? std::optional(out) : std::nullopt;
+}
+
 // Converts a number of seconds, rounded up; values above `max` to `max`.
 // Returns nullopt unless the text is a positive, finite number.
 std::optional<std::chrono::milliseconds>
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -1,8 +1,9 @@
 // Calls to endpoints and their answers.
 #include "runtime/gateway.hpp"
 
+#include "codec/text.hpp"
+
 #include <algorithm>
-#include <charconv>
 #include <limits>
 
 namespace papayahook::runtime {
@@ -37,23 +38,14 @@
     std::ranges::sort(out.passed_ids);
 }
 
-std::optional<std::uint64_t> as_number(std::string const& id)
-{
-    std::uint64_t out = 0;
-    auto const* const last = id.data() + id.size();
-    auto const [end, ec] = std::from_chars(id.data(), last, out);
-    bool const valid = ec == std::errc{} && end == last;
-    return valid ? std::optional(out) : std::nullopt;
-}
-
 // Whether an event precedes the position at which the answer continues: the
 // endpoint does not know the position, and its events are of another run.
 bool is_repeated(gateway_call const& r, std::string const& id)
 {
     if (!r.last_id || id.empty())
         return false;
-    auto const n = as_number(id);
-    auto const last = as_number(*r.last_id);
+    auto const n = codec::parse_number<std::uint64_t>(id);
+    auto const last = codec::parse_number<std::uint64_t>(*r.last_id);
     if (n && last)
         return *n <= *last;
     return std::ranges::binary_search(r.passed_ids, core::hash_of(id));
