Duties: no call of a holder arrives after its lease

Cause, of the class "work that outlives what allowed it". A call was forgotten once it was written. Neither the end of the lease nor the call's time-out took back what the kernel had not delivered: it goes on sending for up to four seconds after the close. The holder also began calls for 2.7 s without a sign that it still reached the platform.

The end of a lease gives up its open calls (cancel_duty_calls). The HTTP client resets the connection of every call that is given up, so that nothing of it is delivered later; that holds for calls to endpoints and to the store as well. And a call begins only within a third of a lease after the newest renewal was sent, else the lease is renewed first: what TCP repeats until three seconds after the call then arrives before a successor may act, also where a reset is not seen.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1123,6 +1123,12 @@
     usage_report report;
 };
 
+// Gives up the open calls of order_endpoints and report_usage, which fail.
+// What the platform has not received of them by now, it never receives.
+struct cancel_duty_calls
+{
+};
+
 // Reports the state of a pool move to the operator.
 struct report_pool_move
 {
@@ -1161,8 +1167,9 @@
     std::variant<refuse, dispatch, cancel_call, pause_call, resume_call,
                  send_head, send_chunk, finish_answer, fail_answer, relay,
                  append, send_peer, close_peer, dial_peer, follow_store,
-                 append_duty, report_usage, order_endpoints, report_pool_move,
-                 check_endpoint, log_event, wake, exit_process>;
+                 append_duty, report_usage, order_endpoints, cancel_duty_calls,
+                 report_pool_move, check_endpoint, log_event, wake,
+                 exit_process>;
 using effects = std::vector<effect>;
 
 // ---------------------------------------------------------------------------
@@ -1505,6 +1512,8 @@
     std::map<std::int64_t, usage_report> intents;
     std::int64_t next_window = 0;   // windows below it are reported
     std::int64_t open_report = 0;   // window of the call in flight; 0: none
+    int open_calls = 0;             // calls to the platform under the lease
+    bool wants_renewal = false;     // a call waits for it
     time_point report_not_before{}; // earliest time of the next call
 };
 
--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -24,7 +24,10 @@
 using namespace std::chrono_literals;
 
 // Fractions of the lease. The holder stops well before a successor may start,
-// so that the holder's last call has arrived by then.
+// so that the holder's last call has arrived by then. On a link that is cut,
+// TCP may send a call again seconds later, so that none begins unless the log
+// has been reached a short time ago.
+constexpr double call_fraction = 0.33;
 constexpr double held_fraction = 0.9;
 constexpr double renew_fraction = 0.4;
 constexpr double successor_fraction = 1.4;
@@ -98,10 +101,17 @@
     record.earlier_holders = earlier_holders(s);
     d.last_append_at = s.now;
     d.open_append_at = s.now;
+    d.wants_renewal = false;
     out.push_back(append_duty{d.stream_end, std::move(record)});
     return true;
 }
 
+// Returns when the append that the own lease counts from was sent.
+time_point renewed_at(node_state const& s)
+{
+    return s.duties.held_until - fraction_of_lease(s, held_fraction);
+}
+
 bool is_own(node_state const& s, duty_record const& it)
 {
     return it.holder == s.settings.name &&
@@ -158,7 +168,8 @@
     if (d.open_report != 0 || s.now < d.report_not_before)
         return;
     if (!d.intents.empty()) {
-        send_report(s, d.intents.begin()->second, out);
+        if (begins_duty_call(s))
+            send_report(s, d.intents.begin()->second, out);
         return;
     }
     auto const newest = window_of(s, s.now);
@@ -171,15 +182,37 @@
     append(s, std::move(record), out);
 }
 
+// A successor may act from now on, so that no call may arrive after it.
+void end_lease(node_state& s, std::string peer, std::string detail,
+               effects& out)
+{
+    auto& d = s.duties;
+    emit_log_event(out, events::lease_lost, s.settings.name, std::move(peer),
+                   detail + ", fencing " + std::to_string(d.fencing) + ", " +
+                       std::to_string(d.open_calls) + " calls open");
+    if (d.open_calls != 0)
+        out.push_back(cancel_duty_calls{});
+    d.fencing = 0;
+    d.open_report = 0;
+}
+
+void perform_duties(node_state& s, effects& out)
+{
+    report_next_window(s, out);
+    plan_fleet(s, out);
+    report_pool_moves(s, out);
+    if (auto step = due_pool_step(s)) {
+        duty_record record;
+        record.move = std::move(step);
+        append(s, std::move(record), out);
+    }
+}
+
 void run_as_holder(node_state& s, effects& out)
 {
     auto& d = s.duties;
     if (s.now >= d.held_until) {
-        emit_log_event(out, events::lease_lost, s.settings.name, "log",
-                       "not renewed in time, fencing " +
-                           std::to_string(d.fencing));
-        d.fencing = 0;
-        d.open_report = 0;
+        end_lease(s, "log", "not renewed in time", out);
         return;
     }
     if (s.leaving) {
@@ -188,17 +221,9 @@
         append(s, std::move(record), out);
         return;
     }
-    report_next_window(s, out);
-    plan_fleet(s, out);
-    report_pool_moves(s, out);
-    if (auto step = due_pool_step(s)) {
-        duty_record record;
-        record.move = std::move(step);
-        append(s, std::move(record), out);
-    }
-    auto const renew_at = d.held_until - fraction_of_lease(s, held_fraction) +
-                          fraction_of_lease(s, renew_fraction);
-    if (s.now >= renew_at)
+    perform_duties(s, out);
+    auto const renew_at = renewed_at(s) + fraction_of_lease(s, renew_fraction);
+    if (d.wants_renewal || s.now >= renew_at)
         append(s, {}, out);
 }
 
@@ -216,10 +241,8 @@
     }
     if (!is_own(s, e.record) || e.record.release) {
         if (d.fencing != 0)
-            emit_log_event(out, events::lease_lost, s.settings.name,
-                           e.record.holder, "offset " + std::to_string(e.at));
-        d.fencing = 0;
-        d.open_report = 0;
+            end_lease(s, e.record.holder, "offset " + std::to_string(e.at),
+                      out);
         return;
     }
     if (d.fencing == 0) {
@@ -235,6 +258,15 @@
 
 } // namespace
 
+bool begins_duty_call(node_state& s)
+{
+    auto& d = s.duties;
+    d.wants_renewal =
+        s.now >= renewed_at(s) + fraction_of_lease(s, call_fraction);
+    d.open_calls += d.wants_renewal ? 0 : 1;
+    return !d.wants_renewal;
+}
+
 void on_duties_read(node_state& s, duties_read const& e, effects& out)
 {
     auto& d = s.duties;
@@ -263,6 +295,7 @@
 void on_usage_reported(node_state& s, usage_reported const& e, effects& out)
 {
     auto& d = s.duties;
+    d.open_calls--;
     if (d.open_report == e.window)
         d.open_report = 0;
     if (!e.ok)
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -135,6 +135,10 @@
     bool const due = wanted > ordered || scale_down || missing;
     if (!due || s.now < it.not_before)
         return;
+    if (!begins_duty_call(s)) {
+        s.fleet_planned_at = {}; // again as soon as it may
+        return;
+    }
     it.requested = wanted;
     it.not_before = s.now + duration(order_retry_delay);
     emit_log_event(
@@ -247,6 +251,7 @@
 void on_endpoints_ordered(node_state& s, endpoints_ordered const& e,
                           effects& out)
 {
+    s.duties.open_calls--;
     auto& it = s.endpoint_orders[{e.pool, e.zone, e.reclaimable}];
     if (e.ok) {
         it.accepted = e.count;
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -234,6 +234,9 @@
 void on_duties_read(node_state& s, duties_read const& e, effects& out);
 void on_duty_append_done(node_state& s, duty_append_done const& e);
 void on_usage_reported(node_state& s, usage_reported const& e, effects& out);
+// Returns whether the holder may call the platform now, and counts the call as
+// open. If not, the lease is renewed first.
+bool begins_duty_call(node_state& s);
 void run_duties(node_state& s, effects& out);
 void count_usage(node_state& s, std::string const& organisation);
 usage_counts subtree_usage(node_state& s);
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -214,10 +214,20 @@
     return std::hash<std::string>{}(call.echoed_header->second);
 }
 
+// In the ordinary way the kernel goes on sending what the server has not
+// acknowledged, for as long as unacknowledged_timeout_ms.
+void reset_on_close(connection& c)
+{
+    std::error_code ec; // ignored: the connection is given up anyway
+    c.socket.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 void close(connection& c)
 {
     if (!c.client)
         return;
+    if (c.call && !c.complete)
+        reset_on_close(c);
     auto const client = std::move(c.client);
     c.client.reset();
     client->limited -= c.limited ? 1 : 0;
@@ -245,6 +255,8 @@
 {
     if (!c->client)
         return;
+    if (!c->complete)
+        reset_on_close(*c);
     auto const t = std::move(c->call);
     if (t)
         c->client->open.erase(t->id);
@@ -675,6 +687,8 @@
         return;
     auto const c = it->second;
     impl_->open.erase(it);
+    if (!c->complete)
+        reset_on_close(*c);
     // The parser may be running a callback of this call, which must not be
     // destroyed before it returns.
     asio::post(impl_->io,
@@ -682,6 +696,16 @@
     close(*c);
 }
 
+void http_client::fail_calls(std::string const& connection_group)
+{
+    std::vector<connection_ptr> given_up;
+    for (auto const& [id, c] : impl_->open)
+        if (c->call && c->call->call.connection_group == connection_group)
+            given_up.push_back(c);
+    for (auto const& c : given_up)
+        fail(c, asio::error::operation_aborted, "cancel");
+}
+
 void http_client::pause(std::uint64_t id)
 {
     auto const it = impl_->open.find(id);
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -1,5 +1,6 @@
 // HTTP/1.1 client on a given asio::io_context. A connection carries one request
-// at a time, and the client never sends a request twice.
+// at a time, and the client never sends a request twice. The connection of a
+// call that is given up is reset.
 #pragma once
 
 #include "runtime/http_server.hpp"
@@ -14,8 +15,8 @@
 struct http_result
 {
     std::error_code error; // set when the exchange did not complete
-    // "connect", "send" (there was no connection left for it), "receive" or
-    // "timeout"
+    // "connect", "send" (there was no connection left for it), "receive",
+    // "timeout" or "cancel"
     std::string step;
     int status = 0;                // 0 when no head was received
     bool may_have_run = false;     // a byte may have reached the server
@@ -58,7 +59,9 @@
 
     std::uint64_t start(http_call call);
     void cancel(std::uint64_t id); // on_done will not be called
-    void pause(std::uint64_t id);  // stops reading, for back-pressure
+    // Gives up the open calls of a connection group; on_done tells so.
+    void fail_calls(std::string const& connection_group);
+    void pause(std::uint64_t id); // stops reading, for back-pressure
     void resume(std::uint64_t id);
     std::size_t limited_connections() const;
 
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -106,6 +106,7 @@
 void perform(node&, core::report_usage const&) {}
 void perform(node&, core::order_endpoints const&) {}
 void perform(node&, core::report_pool_move const&) {}
+void perform(node&, core::cancel_duty_calls const&) {}
 
 // Callers may still be reading their answers. Asked for again with every tick.
 // A caller that connects now would be refused, and its connection takes time to
--- a/test/duties_test.cpp
+++ b/test/duties_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <list>
 #include <random>
 #include <ranges>
 
@@ -28,18 +29,34 @@
     core::report_usage what;
 };
 
+struct open_call
+{
+    std::size_t node = 0;
+    core::report_usage what;
+    core::time_point sent{};
+    core::time_point arrives_at{};
+    bool is_open = true; // its sender awaits the answer
+};
+
 // A store whose appends may be late or lose their answer, nodes that may be
-// frozen, and the reports that the platform gets.
+// frozen or cut off from the platform, and the reports that the platform gets.
 struct duty_world
 {
     std::vector<core::node_state> node = std::vector<core::node_state>(nodes);
     std::vector<core::time_point> frozen_until =
         std::vector<core::time_point>(nodes);
+    std::vector<core::time_point> cut_until =
+        std::vector<core::time_point>(nodes);
     core::time_point now{std::chrono::hours(1)};
     std::vector<core::duty_entry> stream;
     std::vector<open_append> appends;
+    static constexpr auto never = core::time_point::max();
+    std::list<open_call> calls;
     std::vector<report> reports;
     std::mt19937 random;
+    std::chrono::milliseconds max_call_time{0}; // until a report arrives
+    // Whether what was sent of a call is lost once the call is given up.
+    bool resets = true;
     double lost_fraction = 0; // fraction of append answers that are lost
     double late_fraction = 0; // fraction of appends that are delayed
 };
@@ -61,6 +78,73 @@
     return std::uniform_real_distribution<>(0, 1)(w.random) < p;
 }
 
+std::chrono::milliseconds random_time(duty_world& w,
+                                      std::chrono::milliseconds most)
+{
+    return std::chrono::milliseconds(
+        most == 0ms ? 0 : static_cast<int>(w.random() % most.count()));
+}
+
+void give(duty_world& w, std::size_t i, decltype(core::event::body) what);
+
+void send_report(duty_world& w, std::size_t i, core::report_usage const& it)
+{
+    if (w.max_call_time != 0ms) {
+        w.calls.push_back(
+            {i, it, w.now, w.now + random_time(w, w.max_call_time)});
+        return;
+    }
+    w.reports.push_back({w.now, i, it});
+    give(w, i, core::usage_reported{it.report.window, true});
+}
+
+void drop_calls(duty_world& w, std::size_t i)
+{
+    std::erase_if(w.calls, [i](auto const& it) { return it.node == i; });
+}
+
+void give_up(duty_world& w, open_call& it)
+{
+    it.is_open = false;
+    if (w.resets)
+        it.arrives_at = w.never;
+    give(w, it.node, core::usage_reported{it.what.report.window, false});
+}
+
+void give_up_calls(duty_world& w, std::size_t i)
+{
+    for (auto& it : w.calls)
+        if (it.node == i && it.is_open)
+            give_up(w, it);
+}
+
+// What is sent during a cut arrives when TCP sends it again after its end; if
+// the sender does not reset the connection, for as long as TCP tries.
+void carry_out_calls(duty_world& w)
+{
+    constexpr auto call_timeout = 2s;
+    constexpr auto last_try = 3s;
+    auto all = std::exchange(w.calls, {});
+    for (auto& it : all) {
+        if (w.cut_until[it.node] > w.now && it.arrives_at != w.never)
+            it.arrives_at = std::max(
+                it.arrives_at, w.cut_until[it.node] + random_time(w, 1'500ms));
+        if (!w.resets && it.arrives_at > it.sent + last_try)
+            it.arrives_at = w.never;
+        if (w.now >= it.arrives_at) {
+            w.reports.push_back({w.now, it.node, it.what});
+            if (it.is_open)
+                give(w, it.node,
+                     core::usage_reported{it.what.report.window, true});
+        }
+        else {
+            if (it.is_open && w.now >= it.sent + call_timeout)
+                give_up(w, it);
+            w.calls.push_back(it);
+        }
+    }
+}
+
 void give(duty_world& w, std::size_t i, decltype(core::event::body) what)
 {
     core::effects out;
@@ -70,17 +154,17 @@
             auto const delay = chance(w, w.late_fraction) ? 2'500ms : 5ms;
             w.appends.push_back({i, *a, w.now + delay});
         }
-        if (auto const* const r = std::get_if<core::report_usage>(&it)) {
-            w.reports.push_back({w.now, i, *r});
-            give(w, i, core::usage_reported{r->report.window, true});
-        }
+        if (auto const* const r = std::get_if<core::report_usage>(&it))
+            send_report(w, i, *r);
+        if (std::holds_alternative<core::cancel_duty_calls>(it))
+            give_up_calls(w, i);
     }
 }
 
 void carry_out_appends(duty_world& w)
 {
     auto const due = [&](auto const& it) {
-        return it.carried_out_at <= w.now;
+        return it.carried_out_at <= w.now && w.cut_until[it.node] <= w.now;
     };
     std::vector<open_append> now;
     std::ranges::copy_if(w.appends, std::back_inserter(now), due);
@@ -126,12 +210,14 @@
     for (auto t = 0ms; t < time; t += 50ms) {
         w.now += 50ms;
         carry_out_appends(w);
+        carry_out_calls(w);
         for (std::size_t i = 0; i < nodes; ++i) {
             if (w.frozen_until[i] > w.now)
                 continue;
             w.node[i]
                 .duties.subtree_totals[w.now.time_since_epoch() / 5s]["acme"]++;
-            read_stream(w, i);
+            if (w.cut_until[i] <= w.now)
+                read_stream(w, i);
             give(w, i, core::tick{});
         }
     }
@@ -142,6 +228,7 @@
 {
     auto settings = w.node[i].settings;
     settings.incarnation++;
+    drop_calls(w, i);
     w.node[i] = {};
     w.node[i].settings = settings;
 }
@@ -244,9 +331,6 @@
     for (unsigned seed = 1; seed <= 200; ++seed) {
         INFO("seed " << seed);
         auto w = make_duty_world(seed);
-        auto const random_time = [&](unsigned most_ms) {
-            return std::chrono::milliseconds(w.random() % most_ms);
-        };
         run(w, 12s);
         for (int round = 0; round < 12; ++round) {
             auto const i = holder(w);
@@ -257,10 +341,10 @@
             // The process drains, is killed meanwhile, and starts anew.
             if (w.random() % 4 != 0)
                 give(w, *i, core::shutdown_requested{});
-            run(w, random_time(1'000));
-            w.frozen_until[*i] = w.now + 100ms + random_time(400);
+            run(w, random_time(w, 1s));
+            w.frozen_until[*i] = w.now + 100ms + random_time(w, 400ms);
             restart(w, *i);
-            run(w, random_time(1'500));
+            run(w, random_time(w, 1'500ms));
         }
         run(w, 15s);
         CHECK(has_one_holder_at_a_time(w));
@@ -268,3 +352,23 @@
         CHECK(windows_reported(w) >= 5);
     }
 }
+
+// What a holder has sent must not arrive behind a call of its successor.
+TEST_CASE("no call of a holder that was cut off arrives after its lease")
+{
+    bool const resets = GENERATE(true, false);
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        INFO("seed " << seed << ", resets " << resets);
+        auto w = make_duty_world(seed);
+        w.max_call_time = 100ms;
+        w.resets = resets;
+        run(w, 12s);
+        for (int round = 0; round < 5; ++round) {
+            if (auto const i = holder(w))
+                w.cut_until[*i] = w.now + 1s + random_time(w, 5s);
+            run(w, 4s + random_time(w, 8s));
+        }
+        CHECK(has_one_holder_at_a_time(w));
+        CHECK(windows_reported(w) >= 5);
+    }
+}
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -53,8 +53,10 @@
     {
         auto buf = std::make_shared<std::array<char, 4096>>();
         s->async_read_some(asio::buffer(*buf), [=, this](auto ec, auto size) {
-            if (ec)
+            if (ec) {
+                end_of_last = ec;
                 return;
+            }
             got->append(buf->data(), size);
             received.append(buf->data(), size);
             bool const complete = min_request_bytes != 0
@@ -101,6 +103,7 @@
     tcp::acceptor acceptor;
     std::vector<std::shared_ptr<tcp::socket>> sockets;
     std::string received;
+    std::error_code end_of_last; // of the connection that ended last
     int connections = 0;
 };
 
@@ -271,7 +274,7 @@
     CHECK_FALSE(it.result.may_have_run);
 }
 
-TEST_CASE("a cancelled call closes its connection and reports nothing")
+TEST_CASE("a cancelled call resets its connection and reports nothing")
 {
     asio::io_context io;
     http_client client(io);
@@ -289,12 +292,67 @@
     id = client.start(std::move(it));
     run_for(io, 50ms);
     CHECK_FALSE(done);
-    REQUIRE(p.sockets.size() == 1);
+    CHECK(p.connections == 1);
+    CHECK(p.end_of_last == asio::error::connection_reset);
+}
+
+// The kernel would go on sending what the server has not received.
+TEST_CASE("nothing of a call arrives after it was given up")
+{
+    enum class end
+    {
+        cancelled,
+        group_failed,
+        timed_out,
+        client_destroyed
+    };
+    auto const how = GENERATE(end::cancelled, end::group_failed, end::timed_out,
+                              end::client_destroyed);
+    constexpr std::size_t body_bytes = 32UL * 1024 * 1024;
+    asio::io_context io;
+    auto client = std::make_unique<http_client>(io);
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    std::optional<http_result> result;
+    http_call it;
+    it.method = "POST";
+    it.url =
+        "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) +
+        "/x";
+    it.body = std::string(body_bytes, 'x');
+    it.connection_group = "group";
+    it.total_timeout = how == end::timed_out ? 50ms : 5'000ms;
+    it.on_done = [&](http_result const& done) {
+        result = done;
+    };
+    auto const id = client->start(std::move(it));
+    auto server = acceptor.accept();
+    run_for(io, 100ms); // what is sent fills the buffers
+    client->fail_calls("another group");
+    switch (how) {
+    case end::cancelled:
+        client->cancel(id);
+        break;
+    case end::group_failed:
+        client->fail_calls("group");
+        break;
+    case end::timed_out:
+        break;
+    case end::client_destroyed:
+        client.reset();
+    }
+    run_for(io, 10ms);
+    bool const is_told = how == end::group_failed || how == end::timed_out;
+    REQUIRE(result.has_value() == is_told);
+    if (is_told) {
+        CHECK(result->error);
+        CHECK(result->may_have_run);
+        CHECK(result->step == (how == end::timed_out ? "timeout" : "cancel"));
+    }
+    std::vector<char> received(body_bytes);
     std::error_code ec;
-    char byte = 0;
-    p.sockets[0]->non_blocking(true);
-    p.sockets[0]->read_some(asio::buffer(&byte, 1), ec);
-    CHECK(ec == asio::error::eof);
+    auto const n = asio::read(server, asio::buffer(received), ec);
+    CHECK(n < body_bytes);
+    CHECK(ec == asio::error::connection_reset);
 }
 
 TEST_CASE("an endless answer is aborted, whichever part of it is endless")
