Duties: a lease is released when its calls have ended

A process that is otherwise idle waits until its lease is released or over, so that the release is not cut off by its own end.

--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -215,13 +215,15 @@
         end_lease(s, "log", "not renewed in time", out);
         return;
     }
-    if (s.leaving) {
+    // The next holder acts as soon as it has read of the release.
+    if (s.leaving && d.open_calls == 0) {
         duty_record record;
         record.release = true;
         append(s, std::move(record), out);
         return;
     }
-    perform_duties(s, out);
+    if (!s.leaving)
+        perform_duties(s, out);
     auto const renew_at = renewed_at(s) + fraction_of_lease(s, renew_fraction);
     if (d.wants_renewal || s.now >= renew_at)
         append(s, {}, out);
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -134,9 +134,10 @@
     bool const flushed = s.now >= s.last_ended_at + s.settings.exit_linger;
     bool const out_of_time =
         s.now >= s.leaving_since + s.settings.drain_timeout;
+    bool const holds_lease = s.duties.fencing != 0; // until it is released
     bool const is_idle = callers_informed && flushed && !in_progress &&
-                         !waits_for_peer(s) && s.appends.empty() &&
-                         s.claim_log.batch.empty();
+                         !holds_lease && !waits_for_peer(s) &&
+                         s.appends.empty() && s.claim_log.batch.empty();
     if (is_idle || out_of_time)
         out.push_back(exit_process{});
 }
--- a/test/duties_test.cpp
+++ b/test/duties_test.cpp
@@ -372,3 +372,27 @@
         CHECK(windows_reported(w) >= 5);
     }
 }
+
+TEST_CASE("a holder that leaves releases its lease when its calls have ended")
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        INFO("seed " << seed);
+        auto w = make_duty_world(seed);
+        w.max_call_time = 2'500ms;
+        run(w, 12s);
+        for (int round = 0; round < 8; ++round) {
+            auto const i = holder(w);
+            if (!i) {
+                run(w, 100ms);
+                continue;
+            }
+            give(w, *i, core::shutdown_requested{});
+            run(w, 5s);
+            CHECK(w.node[*i].duties.fencing == 0);
+            restart(w, *i);
+            run(w, random_time(w, 4s));
+        }
+        CHECK(has_one_holder_at_a_time(w));
+        CHECK(windows_reported(w) >= 5);
+    }
+}
