Answers: an endpoint's failure promises nothing that it did not state

Cause, of the class "a statement passed on without its proof". For a request that is not repeatable every status of an endpoint without "not run" became the answer. To callers 408, 421, 425, 429 and 503 promise that it has not run.

Such an answer counts as a failed call that may have run: 502, outcome unknown, without the endpoint's headers. Other failures are passed on as before, and so is everything for requests that may be repeated.

Weighed: PROTOCOL.md has the runner's status, body and seal returned unchanged. RULES.md, REFUSED, has no excuse for a status that came from a runner, and MIXED forbids another status only under the seal, so that 502 without it keeps both.

--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -3,6 +3,7 @@
 #include "core/internal.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace papayahook::core {
@@ -265,6 +266,13 @@
                    out);
 }
 
+// Callers send a request that is not repeatable again after these.
+bool promises_not_run(int status)
+{
+    constexpr std::array statuses{408, 421, 425, 429, 503};
+    return std::ranges::find(statuses, status) != statuses.end();
+}
+
 std::string describe_broken_call(node_state const& s, request_state const& r,
                                  call_failed const& e)
 {
@@ -450,11 +458,12 @@
                            " in its answer to " + r->request.id,
                        out);
     // A failure status of the endpoint is passed on as the answer if no other
-    // call is allowed.
+    // call is allowed, unless it would promise what the endpoint did not state.
     bool const retryable_failure = e.status >= 500 && r->repeatable &&
                                    may_call_again(s, *r) &&
                                    retry_tokens(s, *r) >= 1;
-    if (e.not_run || retryable_failure) {
+    bool const misleads = !r->repeatable && promises_not_run(e.status);
+    if (e.not_run || retryable_failure || misleads) {
         auto const call = e.call;
         out.push_back(cancel_call{call});
         fail_call(s, *r, step::answer, !e.not_run,
--- a/test/streams_test.cpp
+++ b/test/streams_test.cpp
@@ -242,6 +242,36 @@
     CHECK(w.bodies[id] == token(id, 0));
 }
 
+// A caller that is told 503 sends its order again, though it has run.
+TEST_CASE("an endpoint's failure promises nothing that it did not state")
+{
+    auto const status = GENERATE(408, 421, 429, 500, 503);
+    bool const is_stated = GENERATE(false, true);
+    CAPTURE(status, is_stated);
+    auto w = make_world(1);
+    configure(w);
+    auto const id = ask_order(w, 0, "");
+    auto const call = w.dispatches.at(0).what.call;
+    w.dispatches.clear();
+    core::answer_head head;
+    head.call = call;
+    head.status = status;
+    head.not_run = is_stated;
+    give(w, 0, head);
+    give(w, 0, core::answer_chunk{call, 0, "failed"});
+    give(w, 0, core::answer_end{call, 1});
+    if (is_stated) {
+        CHECK_FALSE(w.nodes[0].requests.at(id).may_have_run);
+        return;
+    }
+    CHECK(w.dispatches.empty());
+    REQUIRE(w.ends.contains(id));
+    bool const is_passed_on = status == 500;
+    CHECK(w.ends.at(id).whole == is_passed_on);
+    if (!is_passed_on)
+        CHECK(w.ends.at(id).outcome == core::outcome::outcome_unknown);
+}
+
 TEST_CASE("a call without progress is aborted and retried on a new connection")
 {
     session s;
