Stop: what was read when the drain time is over is answered, or reset

Cause, of the class "bytes taken that nobody answers for". A listener that stops takes all connections in its queue, and asio reads from them at once. With the drain time over the loop was stopped in the same turn, so that completed reads were never handled. Their bytes were out of the kernel, which therefore closed in the ordinary way.

Listeners always stop one tick before the loop, so that what they have read is refused by an answer. A connection that still holds such bytes when the loop has ended, and has sent nothing, is reset.

--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -485,6 +485,20 @@
     constexpr std::string_view why = "the request arrives too slowly, or "
                                      "there is no room for it\n";
     if (r.rules && r.rules->refuse)
+// The loop has ended. A request that asio has read by then gets no answer,
+// which its caller can tell from a reset alone. With an answer on its way, a
+// reset could destroy that.
+void counted_socket::end_unhandled()
+{
+    reader_->socket = nullptr;
+    bool const has_sent = reader_->served || reader_->sent_early != 0;
+    if (!is_open() || has_sent)
+        return;
+    std::error_code ec; // ignored: the connection ends anyway
+    set_option(asio::socket_base::linger(true, 0), ec);
+    asio::ip::tcp::socket::close(ec); // the destructor would not reset it
+}
+
         r.rules->refuse(std::move(*this), why);
     else
         refuse_connection(std::move(*this), why);
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -207,7 +207,7 @@
     ~counted_socket()
     {
         if (reader_)
-            reader_->socket = nullptr;
+            end_unhandled();
     }
 
     // `it` is released when the descriptor is closed.
@@ -352,6 +352,7 @@
     static std::shared_ptr<held_read> before_write(request_reader& r);
     static std::size_t take_sent_early(request_reader& r);
     static bool waits(request_reader const& r, std::error_code ec,
+    void end_unhandled();
                       std::string_view in);
     static bool may_still_read(request_reader const& r, std::error_code ec,
                                std::string_view in);
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -111,7 +111,8 @@
 // Callers may still be reading their answers. Asked for again with every tick.
 // A caller that connects now would be refused, and its connection takes time to
 // end, so that a stream of them would keep the process for all of its drain
-// time. Those that wait in the queues have until the next tick.
+// time. Those that wait in the queues have until the next tick, also when the
+// drain time is over: asio may have read their requests already.
 void perform(node& n, core::exit_process const&)
 {
     auto const& s = n.state;
@@ -120,7 +121,7 @@
     bool const listened = !std::exchange(n.has_stopped_listening, true);
     if (listened)
         std::ranges::for_each(n.listeners, &http_server::stop);
-    if (listened && has_time)
+    if (listened)
         return;
     if (*n.unwritten == 0)
         arriving_requests::of(n.io)->end_answers();
--- a/test/accept_test.cpp
+++ b/test/accept_test.cpp
@@ -303,6 +303,28 @@
     CHECK(ec == asio::error::connection_refused);
 }
 
+// Its caller waits for an answer, or takes the end of the connection for one.
+TEST_CASE("a request that was read but not handled when the loop ended is "
+          "reset")
+{
+    asio::io_context callers;
+    sockets all;
+    {
+        small_server s(8);
+        for (int i = 0; i < 5; ++i) {
+            all.push_back(connected(callers, s.address));
+            send_request(all.back());
+        }
+        s.server->stop();
+    }
+    for (auto& it : all) {
+        std::array<char, 64> buf{};
+        std::error_code ec;
+        it.read_some(asio::buffer(buf), ec);
+        CHECK(ec == asio::error::connection_reset);
+    }
+}
+
 TEST_CASE("a listener that stops takes no more callers than its queue holds")
 {
     constexpr int most = asio::socket_base::max_listen_connections + 1;
