One account of all that a process allocates

Cause, of the class "what is kept is counted as what came", once more: each kind has a share, the shares add up to 80 in 100 and 24 MB, and connections, the store's records and messages of peers are in none of them. Nothing bounded the sum.

Change. operator new and delete count all blocks (runtime/heap). Beyond 70 in 100 of the memory no connection and no request is taken, and of requests that arrive the largest go; beyond 80 answers that are not read, or arrive, go, too.

--- a/src/runtime/admin.cpp
+++ b/src/runtime/admin.cpp
@@ -1,6 +1,7 @@
 // Admin listener: state, metrics, health and explanations of decisions.
 #include "codec/json.hpp"
 #include "runtime/arriving_requests.hpp"
+#include "runtime/heap.hpp"
 #include "runtime/metrics.hpp"
 #include "runtime/node.hpp"
 
@@ -55,9 +56,9 @@
         {"callers", *n.open_callers, n.limits.callers},
         {"endpoints", n.client.limited_connections(), n.limits.endpoints},
         {"peers", peers, n.limits.peers}};
-    out.memory = {
-        {"arriving", arriving->bytes(), arriving->max_bytes},
-        {"unwritten", arriving->unwritten(), arriving->max_unwritten}};
+    out.memory = {{"arriving", arriving->bytes(), arriving->max_bytes},
+                  {"unwritten", arriving->unwritten(), arriving->max_unwritten},
+                  {"heap", heap_bytes(), arriving->max_heap}};
     std::ranges::transform(close_reason_names, arriving->closed,
                            std::back_inserter(out.closed),
                            [](char const* name, std::uint64_t count) {
--- a/src/runtime/arriving_requests.cpp
+++ b/src/runtime/arriving_requests.cpp
@@ -1,5 +1,6 @@
 #include "runtime/arriving_requests.hpp"
 
+#include "runtime/heap.hpp"
 #include "runtime/logging.hpp"
 
 #include <algorithm>
@@ -276,6 +277,7 @@
 {
     all->readers_.erase(this);
     all->bytes_ -= bytes;
+    all->freed_soon_ -= freed_soon;
 }
 
 clock::duration request_reader::idle_time(clock::time_point now) const
@@ -308,6 +310,12 @@
     bytes_ -= std::exchange(it.bytes, 0);
 }
 
+std::size_t arriving_requests::lasting_excess(std::size_t max_heap_bytes) const
+{
+    auto const excess = heap_excess(max_heap_bytes);
+    return excess - std::min(excess, freed_soon_);
+}
+
 void arriving_requests::make_arriving_room()
 {
     auto const now = clock::now();
@@ -317,10 +325,14 @@
                           n->open_request.expired(),
                           burden(n->bytes, now - n->began));
     };
-    while (bytes_ > max_bytes) {
+    for (auto excess = lasting_excess(max_intake_heap);
+         excess != 0 || bytes_ > max_bytes;) {
+        if (readers_.empty())
+            return;
         auto* const largest = *std::ranges::max_element(readers_, {}, rank);
         if (largest->given_up || largest->bytes == 0)
             return;
+        excess -= std::min(excess, largest->bytes);
         give_up(*largest, close_reason::arriving_memory);
     }
 }
@@ -340,7 +352,9 @@
                    : burden(n->unwritten, now - n->out.progress);
     };
     // Closing a connection frees what it holds later.
-    for (auto over = unwritten_; over > max_unwritten;) {
+    for (auto over = std::max(unwritten_ - std::min(unwritten_, max_unwritten),
+                              lasting_excess(max_heap));
+         over != 0;) {
         auto* const largest = *std::ranges::max_element(readers_, {}, rank);
         if (rank(largest) <= 0)
             break;
@@ -414,6 +428,8 @@
                    " of " + std::to_string(unwritten_) + " not yet written"});
     ++closed.at(static_cast<std::size_t>(why));
     it.given_up = true;
+    it.freed_soon = it.bytes + it.unwritten;
+    freed_soon_ += it.freed_soon;
     release(it);
     it.told_why = it.open_request.expired() && it.writes == 0 &&
                   it.sent_early == 0 && why != close_reason::room &&
@@ -469,6 +485,20 @@
     return out;
 }
 
+// The loop has ended. A request that asio has read by then gets no answer,
+// which its caller can tell from a reset alone. With an answer on its way, a
+// reset could destroy that.
+void counted_socket::end_unhandled()
+{
+    reader_->socket = nullptr;
+    bool const has_sent = reader_->served || reader_->sent_early != 0;
+    if (!is_open() || has_sent)
+        return;
+    std::error_code ec; // ignored: the connection ends anyway
+    set_option(asio::socket_base::linger(true, 0), ec);
+    asio::ip::tcp::socket::close(ec); // the destructor would not reset it
+}
+
 void counted_socket::prepare()
 {
     if (!reader_)
@@ -485,20 +515,6 @@
     constexpr std::string_view why = "the request arrives too slowly, or "
                                      "there is no room for it\n";
     if (r.rules && r.rules->refuse)
-// The loop has ended. A request that asio has read by then gets no answer,
-// which its caller can tell from a reset alone. With an answer on its way, a
-// reset could destroy that.
-void counted_socket::end_unhandled()
-{
-    reader_->socket = nullptr;
-    bool const has_sent = reader_->served || reader_->sent_early != 0;
-    if (!is_open() || has_sent)
-        return;
-    std::error_code ec; // ignored: the connection ends anyway
-    set_option(asio::socket_base::linger(true, 0), ec);
-    asio::ip::tcp::socket::close(ec); // the destructor would not reset it
-}
-
         r.rules->refuse(std::move(*this), why);
     else
         refuse_connection(std::move(*this), why);
--- a/src/runtime/arriving_requests.hpp
+++ b/src/runtime/arriving_requests.hpp
@@ -116,7 +116,8 @@
     asio::cancellation_signal stop;   // of the pending read
 
     // Of the request that arrives.
-    std::size_t bytes = 0; // memory that it takes
+    std::size_t bytes = 0;      // memory that it takes
+    std::size_t freed_soon = 0; // what the connection held when it was given up
     std::size_t head_bytes = 0;
     bool head_read = false;
     clock::time_point began{};
@@ -146,6 +147,10 @@
     // is closed.
     std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
     std::size_t max_unwritten = std::numeric_limits<std::size_t>::max();
+    // Of the heap as a whole, for requests that arrive and for answers. Beyond
+    // it connections are closed by the same rules.
+    std::size_t max_intake_heap = std::numeric_limits<std::size_t>::max();
+    std::size_t max_heap = std::numeric_limits<std::size_t>::max();
     std::size_t bytes() const { return bytes_; }
     std::size_t unwritten() const { return unwritten_; }
     std::array<std::uint64_t, close_reason_names.size()> closed{};
@@ -181,10 +186,13 @@
 
     void give_up(request_reader& it, close_reason why);
     void end_arrival(request_reader& it);
+    // Returns by how much the heap will exceed a limit.
+    std::size_t lasting_excess(std::size_t max_heap_bytes) const;
 
     std::set<request_reader*> readers_;
     std::size_t bytes_ = 0;
     std::size_t unwritten_ = 0;
+    std::size_t freed_soon_ = 0; // of connections that were given up
 };
 
 // The caller has ended its input, or sent no request, while it waits for an
@@ -344,6 +352,7 @@
         after_read(r);
     }
 
+    void end_unhandled();
     void prepare();
     void refuse(request_reader& r);
     static void on_received(request_reader& r, std::size_t n);
@@ -352,7 +361,6 @@
     static std::shared_ptr<held_read> before_write(request_reader& r);
     static std::size_t take_sent_early(request_reader& r);
     static bool waits(request_reader const& r, std::error_code ec,
-    void end_unhandled();
                       std::string_view in);
     static bool may_still_read(request_reader const& r, std::error_code ec,
                                std::string_view in);
--- a/src/runtime/callers.cpp
+++ b/src/runtime/callers.cpp
@@ -1,4 +1,5 @@
 // Connections of callers: receives requests and sends answers.
+#include "runtime/heap.hpp"
 #include "runtime/node.hpp"
 
 #include <algorithm>
@@ -133,6 +134,12 @@
         return;
     }
     auto const id = new_request_id(n);
+    if (heap_excess(n.options.max_intake_heap_bytes) != 0) {
+        send_problem(out, id,
+                     {503, core::outcome::not_run, core::step::admit, "",
+                      "this node is short of memory", std::chrono::seconds(1)});
+        return;
+    }
     auto parsed = parse_request(in, id);
     if (auto const* const bad = std::get_if<bad_request>(&parsed)) {
         send_problem(out, id,
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -1,5 +1,6 @@
 // Connections of callers: receives requests and sends answers.
 #include "runtime/gateway.hpp"
+#include "runtime/heap.hpp"
 #include "runtime/logging.hpp"
 
 #include <algorithm>
@@ -93,9 +94,11 @@
     waiting_request it{std::move(id), std::move(in), std::move(out),
                        std::chrono::steady_clock::now()};
     bool const is_first = !connection.open && connection.waiting.empty();
-    // Without any that wait, the core decides.
+    // Without any that wait, the core decides on its share.
     bool const is_counted_here = !is_first || waiting_ != 0;
-    if (is_counted_here && !has_memory_for(n, it.request)) {
+    bool const has_memory = heap_excess(n.options.max_intake_heap_bytes) == 0 &&
+                            (!is_counted_here || has_memory_for(n, it.request));
+    if (!has_memory) {
         refuse_for_memory(n, it);
         return;
     }
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -2,6 +2,7 @@
 #include "runtime/gateway.hpp"
 
 #include "codec/text.hpp"
+#include "runtime/heap.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -188,7 +189,10 @@
 
 bool gateway::make_room(node& n, core::call_id call, std::size_t bytes)
 {
-    if (buffered_ + *n.unwritten + bytes <= n.options.max_answer_bytes)
+    bool const fits =
+        buffered_ + *n.unwritten + bytes <= n.options.max_answer_bytes &&
+        heap_excess(n.options.max_heap_bytes) == 0;
+    if (fits)
         return true;
     auto const largest = std::ranges::max_element(
         calls_, {}, [](auto const& it) { return buffered_bytes(it.second); });
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -4,6 +4,7 @@
 #include "runtime/accept_loop.hpp"
 #include "runtime/arriving_requests.hpp"
 #include "runtime/guard.hpp"
+#include "runtime/heap.hpp"
 #include "runtime/refused_connection.hpp"
 
 #include <algorithm>
@@ -452,6 +453,7 @@
     asio::steady_timer progress_timer;
     bool stopped = false;
     std::size_t max_connections = 0;
+    std::size_t max_intake_heap = 0;
     std::shared_ptr<std::size_t> open; // connections
     std::shared_ptr<state_listener> listener =
         std::make_shared<state_listener>();
@@ -466,9 +468,10 @@
     auto const caller = socket.remote_endpoint(ec);
     if (ec)
         return; // reset meanwhile
-    if (*open >= max_connections &&
-        !arriving->make_place(*rules,
-                              max_connections / connections_per_refusal)) {
+    bool const has_place =
+        *open < max_connections && heap_excess(max_intake_heap) == 0;
+    if (!has_place && !arriving->make_place(
+                          *rules, max_connections / connections_per_refusal)) {
         refuse_caller(std::move(socket), "too many connections\n");
         return;
     }
@@ -511,6 +514,10 @@
     auto const arriving = impl_->arriving;
     arriving->max_bytes = options.max_arriving_bytes;
     arriving->max_unwritten = options.max_unwritten_bytes;
+    arriving->max_intake_heap =
+        std::min(arriving->max_intake_heap, options.max_intake_heap_bytes);
+    arriving->max_heap = std::min(arriving->max_heap, options.max_heap_bytes);
+    impl_->max_intake_heap = options.max_intake_heap_bytes;
     auto& rules = *impl_->rules;
     rules.header_timeout = options.header_timeout;
     rules.idle_timeout = options.idle_timeout;
--- a/src/runtime/http_server.hpp
+++ b/src/runtime/http_server.hpp
@@ -100,6 +100,8 @@
     // closed.
     std::size_t max_arriving_bytes = std::numeric_limits<std::size_t>::max();
     std::size_t max_unwritten_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t max_intake_heap_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t max_heap_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 // Why the connection ends whose end is being reported to on_close.
--- a/src/runtime/node.cpp
+++ b/src/runtime/node.cpp
@@ -4,6 +4,7 @@
 #include "codec/json.hpp"
 #include "runtime/arriving_requests.hpp"
 #include "runtime/guard.hpp"
+#include "runtime/heap.hpp"
 #include "runtime/logging.hpp"
 
 #include <algorithm>
@@ -105,8 +106,8 @@
 void perform(node&, core::append_duty const&) {}
 void perform(node&, core::report_usage const&) {}
 void perform(node&, core::order_endpoints const&) {}
-void perform(node&, core::report_pool_move const&) {}
 void perform(node&, core::cancel_duty_calls const&) {}
+void perform(node&, core::report_pool_move const&) {}
 
 // Callers may still be reading their answers. Asked for again with every tick.
 // A caller that connects now would be refused, and its connection takes time to
@@ -194,6 +195,7 @@
     run_guarded("tick", [&n] {
         handle(n, core::tick{});
         erase_ended_requests(n);
+        trim_heap();
         flush_log();
     });
     n.tick_timer.expires_after(tick_period);
@@ -349,6 +351,8 @@
     auto out = listener_options(n);
     out.max_connections = n.limits.callers;
     out.open_connections = n.open_callers;
+    out.max_intake_heap_bytes = n.options.max_intake_heap_bytes;
+    out.max_heap_bytes = n.options.max_heap_bytes;
     return out;
 }
 
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -202,7 +202,10 @@
 // between requests, so more callers than calls are connected.
 constexpr std::size_t endpoint_percentage = 40;
 
-// Percentages of the memory of a process.
+// Percentages of the memory of a process. The shares add up to more than the
+// heap may take, as they are rarely used up at the same time.
+constexpr std::size_t heap_percentage = 80;
+constexpr std::size_t intake_heap_percentage = 70;
 constexpr std::size_t arriving_percentage = 10;
 constexpr std::size_t request_percentage = 20;
 // Taken twice, for answers that are held and for those that are on their way.
@@ -244,6 +247,8 @@
     auto const share = [bytes](std::size_t percentage) {
         return bytes / 100 * percentage;
     };
+    it.max_heap_bytes = share(heap_percentage);
+    it.max_intake_heap_bytes = share(intake_heap_percentage);
     it.max_arriving_bytes = share(arriving_percentage);
     it.core.max_request_bytes = share(request_percentage);
     auto const rest = bytes - it.max_arriving_bytes - it.core.max_request_bytes;
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -35,6 +35,10 @@
     std::vector<std::string> peer_keys; // the first signs, any is accepted
     std::size_t max_body_bytes = 4 * 1024 * 1024;
     std::size_t max_header_bytes = 16 * 1024;
+    // Of all that the process allocates: beyond the first, no requests and
+    // connections are taken; beyond the second, answers are given up, too.
+    std::size_t max_intake_heap_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t max_heap_bytes = std::numeric_limits<std::size_t>::max();
     // Bytes of all answers that are buffered or not yet written. Beyond it the
     // largest answer that is still arriving is given up.
     std::size_t max_answer_bytes = 64UL * 1024 * 1024;
