--- a/src/core/duties.cpp
+++ b/src/core/duties.cpp
@@ -183,12 +183,12 @@
 }
 
 // A successor may act from now on, so that no call may arrive after it.
-void end_lease(node_state& s, std::string peer, std::string detail,
+void end_lease(node_state& s, std::string peer, std::string const& why,
                effects& out)
 {
     auto& d = s.duties;
     emit_log_event(out, events::lease_lost, s.settings.name, std::move(peer),
-                   detail + ", fencing " + std::to_string(d.fencing) + ", " +
+                   why + ", fencing " + std::to_string(d.fencing) + ", " +
                        std::to_string(d.open_calls) + " calls open");
     if (d.open_calls != 0)
         out.push_back(cancel_duty_calls{});
--- a/src/runtime/gateway.hpp
+++ b/src/runtime/gateway.hpp
@@ -113,7 +113,8 @@
     bool has_memory_for(node const& n, http_request const& in) const;
     void begin(node& n, waiting_request it);
     void begin_next(node& n, std::uint64_t connection);
-    void refuse_for_memory(node& n, waiting_request const& it);
+    void refuse_for_memory(node& n, waiting_request const& it,
+                           std::string const& detail);
     void refuse_now(node& n, waiting_request const& it,
                     generated_answer answer);
     void on_readiness(node& n, responder_ptr const& out);
--- a/src/runtime/gateway_callers.cpp
+++ b/src/runtime/gateway_callers.cpp
@@ -96,10 +96,13 @@
     bool const is_first = !connection.open && connection.waiting.empty();
     // Without any that wait, the core decides on its share.
     bool const is_counted_here = !is_first || waiting_ != 0;
-    bool const has_memory = heap_excess(n.options.max_intake_heap_bytes) == 0 &&
-                            (!is_counted_here || has_memory_for(n, it.request));
-    if (!has_memory) {
-        refuse_for_memory(n, it);
+    if (heap_excess(n.options.max_intake_heap_bytes) != 0) {
+        refuse_for_memory(n, it, "this node is short of memory");
+        return;
+    }
+    if (is_counted_here && !has_memory_for(n, it.request)) {
+        refuse_for_memory(
+            n, it, "open requests take the memory that this node has for them");
         return;
     }
     if (is_first) {
@@ -117,16 +120,13 @@
            n.state.settings.max_request_bytes;
 }
 
-void gateway::refuse_for_memory(node& n, waiting_request const& it)
+void gateway::refuse_for_memory(node& n, waiting_request const& it,
+                                std::string const& detail)
 {
     core::refusal const why{
-        503,
-        core::outcome::not_run,
-        core::step::admit,
-        "",
-        "open requests take the memory that this node has for them",
+        503,        core::outcome::not_run, core::step::admit, "", detail,
         retry_after};
-    write_log({events::request_refused, it.id, "", "admit: " + why.detail});
+    write_log({events::request_refused, it.id, "", "admit: " + detail});
     refuse_now(n, it, codec_.refusal_answer(sent_part(it.id), why));
 }
 
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -364,6 +364,17 @@
     return out;
 }
 
+// Of all servers of an event loop; one without a limit of the heap leaves that
+// of the others.
+void set_limits(arriving_requests& out, http_server_options const& it)
+{
+    out.max_bytes = it.max_arriving_bytes;
+    out.max_unwritten = it.max_unwritten_bytes;
+    out.max_intake_heap =
+        std::min(out.max_intake_heap, it.max_intake_heap_bytes);
+    out.max_heap = std::min(out.max_heap, it.max_heap_bytes);
+}
+
 char lower(char c)
 {
     return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -512,11 +523,7 @@
     : impl_(std::make_unique<impl>(io))
 {
     auto const arriving = impl_->arriving;
-    arriving->max_bytes = options.max_arriving_bytes;
-    arriving->max_unwritten = options.max_unwritten_bytes;
-    arriving->max_intake_heap =
-        std::min(arriving->max_intake_heap, options.max_intake_heap_bytes);
-    arriving->max_heap = std::min(arriving->max_heap, options.max_heap_bytes);
+    set_limits(*arriving, options);
     impl_->max_intake_heap = options.max_intake_heap_bytes;
     auto& rules = *impl_->rules;
     rules.header_timeout = options.header_timeout;
