The limits of the heap leave a process what it needs to serve

The limits are now 24 MB at least, the part that the shares leave to the process itself.

Test: "a process takes requests in, whatever memory its settings name".

--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -212,7 +212,7 @@
 constexpr std::size_t answer_percentage = 25;
 constexpr std::size_t min_answer_percentage = 10;
 // For the process itself, the connections and copies; where the memory is
-// small, the answers get less.
+// small, the answers get less. With less, nothing could be taken in.
 constexpr std::size_t own_bytes = 24'000'000;
 // Answers that callers do not read leave the rest to those that arrive.
 constexpr std::size_t unwritten_percentage = 60;
@@ -247,8 +247,9 @@
     auto const share = [bytes](std::size_t percentage) {
         return bytes / 100 * percentage;
     };
-    it.max_heap_bytes = share(heap_percentage);
-    it.max_intake_heap_bytes = share(intake_heap_percentage);
+    it.max_heap_bytes = std::max(share(heap_percentage), own_bytes);
+    it.max_intake_heap_bytes =
+        std::max(share(intake_heap_percentage), own_bytes);
     it.max_arriving_bytes = share(arriving_percentage);
     it.core.max_request_bytes = share(request_percentage);
     auto const rest = bytes - it.max_arriving_bytes - it.core.max_request_bytes;
--- a/test/heap_test.cpp
+++ b/test/heap_test.cpp
@@ -3,6 +3,7 @@
 #include "runtime/arriving_requests.hpp"
 #include "runtime/heap.hpp"
 #include "runtime/http_server.hpp"
+#include "runtime/settings.hpp"
 #include "support/client.hpp"
 #include "support/processes.hpp"
 
@@ -95,6 +96,18 @@
     CHECK(runtime::heap_excess(before) == 0);
 }
 
+// A settings file that is read while it is written may name less.
+TEST_CASE("a process takes requests in, whatever memory its settings name")
+{
+    constexpr std::size_t most = 260;
+    for (std::size_t mb = 1; mb <= most; ++mb) {
+        runtime::settings it;
+        runtime::divide_memory(it, mb * megabyte);
+        CHECK(it.max_intake_heap_bytes >= 24 * megabyte);
+        CHECK(it.max_heap_bytes >= it.max_intake_heap_bytes);
+    }
+}
+
 // What it is that has used up the memory does not matter.
 TEST_CASE("callers are refused while the heap is used up, and served after")
 {
