The account of the heap asks malloc

Cause: counting in operator new and delete. asio takes blocks by aligned_alloc, some of which are deleted, so that the count fell below zero and wrapped (event 420: "heap of bytes, at most"). Ruled out: memory cut in the settings file, which had taken for the cause; its floor stays, as a node that may take nothing in is of no use.

Connections that are refused are logged, at most once a second, with what is used up (event 420), which told the two causes apart.

--- a/src/runtime/heap.hpp
+++ b/src/runtime/heap.hpp
@@ -5,7 +5,8 @@
 
 namespace papayahook::runtime {
 
-// Returns the bytes of all blocks that operator new has handed out.
+// Returns the bytes of all blocks of malloc that are in use, as of some
+// milliseconds ago at most.
 std::size_t heap_bytes();
 
 // Returns by how much the heap exceeds a limit; 0: it does not.
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -5,6 +5,7 @@
 #include "runtime/arriving_requests.hpp"
 #include "runtime/guard.hpp"
 #include "runtime/heap.hpp"
+#include "runtime/logging.hpp"
 #include "runtime/refused_connection.hpp"
 
 #include <algorithm>
@@ -27,6 +28,7 @@
 // callers must do.
 constexpr std::chrono::hours no_time_limit{24};
 constexpr std::chrono::milliseconds progress_check_period{250};
+constexpr std::chrono::seconds min_log_interval{1};
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
 // The kernel would take megabytes of answers that a caller does not read, so
 // that requests sent ahead would go on being served.
@@ -452,6 +454,7 @@
 {
     void on_accepted(tcp::socket socket);
     void refuse_caller(tcp::socket socket, std::string_view why);
+    void log_refusal();
     void check_progress();
 
     explicit impl(asio::io_context& io)
@@ -470,6 +473,8 @@
         std::make_shared<state_listener>();
     std::unique_ptr<connection_factory> factory;
     std::list<std::weak_ptr<refused_connection>> refused; // oldest first
+    std::size_t unlogged = 0; // callers that were refused since the last line
+    std::chrono::steady_clock::time_point logged_at{};
     std::optional<accept_loop> acceptor;
 };
 
@@ -483,6 +488,7 @@
         *open < max_connections && heap_excess(max_intake_heap) == 0;
     if (!has_place && !arriving->make_place(
                           *rules, max_connections / connections_per_refusal)) {
+        log_refusal();
         refuse_caller(std::move(socket), "too many connections\n");
         return;
     }
@@ -495,6 +501,21 @@
     factory->create_new_connection(std::move(it), caller, {nullptr})->init();
 }
 
+void http_server::impl::log_refusal()
+{
+    unlogged++;
+    auto const now = std::chrono::steady_clock::now();
+    if (now < logged_at + min_log_interval)
+        return;
+    logged_at = now;
+    write_log({events::callers_refused, "", "",
+               std::to_string(std::exchange(unlogged, 0)) + " callers; " +
+                   std::to_string(*open) + " of " +
+                   std::to_string(max_connections) + " connections, heap of " +
+                   std::to_string(heap_bytes()) + " bytes, at most " +
+                   std::to_string(max_intake_heap)});
+}
+
 void http_server::impl::refuse_caller(tcp::socket socket, std::string_view why)
 {
     std::erase_if(refused, [](auto const& it) { return it.expired(); });
--- a/src/runtime/logging.hpp
+++ b/src/runtime/logging.hpp
@@ -30,6 +30,7 @@
 inline constexpr int idle_connection_closed = 417;
 inline constexpr int connection_replaced = 418;
 inline constexpr int caller_ended = 419;
+inline constexpr int callers_refused = 420;
 inline constexpr int entry_skipped = 207;
 inline constexpr int store_failed = 305;
 inline constexpr int api_failed = 804;
