--- a/test/heap_test.cpp
+++ b/test/heap_test.cpp
@@ -7,6 +7,7 @@
 #include "support/client.hpp"
 #include "support/processes.hpp"
 
+#include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
