--- a/review/stage-3/drill.cpp
+++ b/review/stage-3/drill.cpp
@@ -61,7 +61,6 @@
     std::signal(SIGPIPE, SIG_IGN);
     record out(argc > 1 ? argv[1] : "record.txt");
     temporary_folder const files;
-    auto const& folder = files.path;
     bool const trouble = has_trouble();
     out.line(trouble ? "with the disruption" : "without the disruption");
 
@@ -88,7 +87,8 @@
 
     std::list<node> nodes;
     for (auto const* const name : {"n1", "n2", "n3"}) {
-        nodes.push_back(make_node(name, folder, s.address(), api.address()));
+        nodes.push_back(
+            make_node(name, files.path, s.address(), api.address()));
         start(nodes.back());
     }
     auto const named = [&](std::string const& name) -> node& {
@@ -109,10 +109,7 @@
     auto const leave = [&](int result) {
         stop = true;
         clients.join();
-        for (auto& it : nodes)
-            end(it);
-        out.line("result " + std::to_string(result));
-        return result;
+        finish(out, nodes, files, result);
     };
     auto const restart = [&](node& n) {
         out.line("SIGTERM to " + n.name);
@@ -128,12 +125,12 @@
             return std::all_of(nodes.begin(), nodes.end(), is_ready);
         })) {
         out.line("the nodes are not ready");
-        return leave(cannot_run);
+        leave(cannot_run);
     }
     out.line("all nodes are ready");
     if (!eventually(25s, [&] { return last_call(all).has_value(); })) {
         out.line("no node reports usage");
-        return leave(cannot_run);
+        leave(cannot_run);
     }
 
     // The nodes are stopped and started in turn, the holder first.
@@ -146,7 +143,7 @@
     if (!moved) {
         out.line("no other node took the duties over");
         first_restart.join();
-        return leave(cannot_run);
+        leave(cannot_run);
     }
     auto const second = last_call(all)->holder;
     auto back = clock::now();
@@ -218,10 +215,5 @@
     }
     out.line("usage calls later than 5 s after the drill: " +
              std::to_string(late_calls));
-    stop = true;
-    clients.join();
-    for (auto& it : nodes)
-        end(it);
-    out.line("result " + std::to_string(result));
-    return result;
+    leave(result);
 }
--- a/review/stage-3/drill_config.cpp
+++ b/review/stage-3/drill_config.cpp
@@ -41,7 +41,6 @@
     std::signal(SIGPIPE, SIG_IGN);
     record out(argc > 1 ? argv[1] : "record.txt");
     temporary_folder const files;
-    auto const& folder = files.path;
     bool const trouble = has_trouble();
     out.line(trouble ? "with the disruption" : "without the disruption");
 
@@ -59,8 +58,7 @@
                 ran[id] = service;
             }
             return c.send(answer_bytes(
-                200,
-                {{"Request-Id", id}, {"Response-Seal", "seal-" + service}},
+                200, {{"Request-Id", id}, {"Response-Seal", "seal-" + service}},
                 "from " + service));
         };
     };
@@ -71,20 +69,18 @@
 
     std::list<node> nodes;
     for (auto const* const name : {"n1", "n2", "n3"}) {
-        nodes.push_back(make_node(name, folder, s.address(), api.address()));
+        nodes.push_back(
+            make_node(name, files.path, s.address(), api.address()));
         start(nodes.back());
     }
     auto const leave = [&](int result) {
-        for (auto& it : nodes)
-            end(it);
-        out.line("result " + std::to_string(result));
-        return result;
+        finish(out, nodes, files, result);
     };
     if (!eventually(15s, [&] {
             return std::all_of(nodes.begin(), nodes.end(), is_ready);
         })) {
         out.line("the nodes are not ready");
-        return leave(cannot_run);
+        leave(cannot_run);
     }
     out.line("all nodes are ready");
     std::this_thread::sleep_for(5s);
@@ -97,22 +93,24 @@
         for (auto const& it : nodes)
             for (auto const* const key : {"key-1", "key-2"}) {
                 auto const id = "c-" + std::to_string(++number);
-                auto const got = call(
-                    it.front, request("GET", "/lookup/x", id, 2'000, {}, {}, key),
-                    3'000ms);
+                auto const got =
+                    call(it.front,
+                         request("GET", "/lookup/x", id, 2'000, {}, {}, key),
+                         3'000ms);
                 std::string by;
                 {
                     std::scoped_lock const lock(mutex);
                     by = ran.contains(id) ? ran.at(id) : "none";
                 }
-                bool const dropped = key_is_dropped && key == std::string("key-2");
+                bool const dropped =
+                    key_is_dropped && key == std::string("key-2");
                 bool const is_wrong =
                     by != "none" && (dropped || by != service);
                 wrong += is_wrong ? 1 : 0;
-                out.line(id + " with " + key + " to " + it.name + ": status " +
-                         std::to_string(got.in.status) + ", run by " + by +
-                         (is_wrong ? "  <- as only an older version allows"
-                                   : ""));
+                out.line(
+                    id + " with " + key + " to " + it.name + ": status " +
+                    std::to_string(got.in.status) + ", run by " + by +
+                    (is_wrong ? "  <- as only an older version allows" : ""));
             }
         return wrong;
     };
@@ -131,11 +129,12 @@
         auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
             clock::now() - copy);
         s.drill(away, copy);
-        out.line("the store was away for 1 s and is back from a copy that was " +
-                 std::to_string(age.count()) +
-                 " ms old; version " + std::to_string(1 + storm_versions) +
-                 " was written again, keyed.op ends at " +
-                 std::to_string(s.end_of("keyed.op")));
+        out.line(
+            "the store was away for 1 s and is back from a copy that was " +
+            std::to_string(age.count()) + " ms old; version " +
+            std::to_string(1 + storm_versions) +
+            " was written again, keyed.op ends at " +
+            std::to_string(s.end_of("keyed.op")));
     }
     else {
         std::this_thread::sleep_for(away);
@@ -143,7 +142,7 @@
     std::this_thread::sleep_for(stable_window + outer_ms);
     if (probe(false, "desk-a") != 0) {
         out.line("the first version is not served");
-        return leave(cannot_run);
+        leave(cannot_run);
     }
 
     // Planned work, in a calm that is longer than all windows of the rules.
@@ -168,5 +167,5 @@
     out.line("CONFIG: " + std::to_string(wrong) +
              " requests later than config_ms + 1 s were handled as only an "
              "older version allows");
-    return leave(wrong == 0 ? held : broken);
+    leave(wrong == 0 ? held : broken);
 }
--- a/review/stage-3/rig.hpp
+++ b/review/stage-3/rig.hpp
@@ -371,15 +371,19 @@
         std::thread([this] { accept(); }).detach();
     }
     int port() const { return port_; }
-    std::string address() const
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    // Later connections are refused.
+    void stop()
     {
-        return "127.0.0.1:" + std::to_string(port_);
+        stopped_ = true;
+        ::shutdown(fd_, SHUT_RDWR);
+        ::close(fd_);
     }
 
 private:
     void accept()
     {
-        for (;;) {
+        while (!stopped_) {
             int const fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0) {
                 std::this_thread::sleep_for(10ms);
@@ -396,6 +400,7 @@
 
     int port_;
     int fd_ = -1;
+    std::atomic<bool> stopped_{false};
     handler handler_;
 };
 
@@ -459,13 +464,12 @@
     for (std::size_t n = 0; n < text.size(); n += 3) {
         std::uint32_t bits = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            bits = bits << 8 |
-                   (n + k < text.size()
-                        ? static_cast<unsigned char>(text[n + k])
-                        : 0U);
+            bits = bits << 8 | (n + k < text.size()
+                                    ? static_cast<unsigned char>(text[n + k])
+                                    : 0U);
         for (std::size_t k = 0; k < 4; ++k)
-            out += n + k <= text.size() ? digits[bits >> (18 - 6 * k) & 63]
-                                        : '=';
+            out +=
+                n + k <= text.size() ? digits[bits >> (18 - 6 * k) & 63] : '=';
     }
     return out;
 }
@@ -576,7 +580,9 @@
         auto const topic = in.query("topic");
         auto& all = topics_[topic];
         auto const at = in.query("at");
-        auto const end = [&] { return std::to_string(all.size()); };
+        auto const end = [&] {
+            return std::to_string(all.size());
+        };
         if (!at.empty() && std::stoul(at) != all.size())
             return reply(c, 412, "{\"end\":" + end() + "}");
         auto const first = all.size();
@@ -587,8 +593,9 @@
             add(topic, std::string(rest.substr(4, n)));
             rest.remove_prefix(std::min(rest.size(), 4 + n));
         }
-        return reply(c, 200, "{\"offset\":" + std::to_string(first) +
-                                 ",\"end\":" + end() + "}");
+        return reply(c, 200,
+                     "{\"offset\":" + std::to_string(first) +
+                         ",\"end\":" + end() + "}");
     }
     bool newest(channel& c, message const& in)
     {
@@ -610,8 +617,7 @@
                      "{\"items\":[" + items + "],\"has_more\":false,\"end\":" +
                          std::to_string(all.size()) + "}");
     }
-    bool read(channel& c, message const& in,
-              std::unique_lock<std::mutex>& lock)
+    bool read(channel& c, message const& in, std::unique_lock<std::mutex>& lock)
     {
         auto const& all = topics_[in.query("topic")];
         auto const from = std::stoul(in.query("from"));
@@ -658,22 +664,41 @@
           })
     {
         std::thread([this] {
-            for (;;) {
+            while (!ended_) {
                 beat();
                 std::this_thread::sleep_for(1'200ms);
             }
         }).detach();
     }
     std::string const& id() const { return id_; }
+    bool is_leaving() const { return leaving_; }
+    bool has_ended() const { return ended_; }
+    // Reports that it drains.
+    void leave()
+    {
+        leaving_ = true;
+        beat();
+    }
+    // Exits: what it works on is broken off.
+    void exit()
+    {
+        ended_ = true;
+        server_.stop();
+        std::scoped_lock const lock(mutex_);
+        store_.put("keyed.servers", id_, "");
+    }
     void beat()
     {
         std::scoped_lock const lock(mutex_);
+        if (ended_)
+            return;
         store_.put("keyed.servers", id_,
                    "{\"service\":\"" + service_ + "\",\"address\":\"" +
                        server_.address() +
                        "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" +
-                       std::to_string(slots_) +
-                       ",\"state\":\"ready\",\"cold_left_ms\":0," + models_ +
+                       std::to_string(slots_) + ",\"state\":\"" +
+                       (leaving_ ? "draining" : "ready") +
+                       "\",\"cold_left_ms\":0," + models_ +
                        "\"born\":" + std::to_string(born_) +
                        ",\"sequence\":" + std::to_string(++sequence_) + "}");
     }
@@ -687,6 +712,8 @@
     std::mutex mutex_;
     std::int64_t born_ = wall_ms();
     int sequence_ = 0;
+    std::atomic<bool> leaving_{false};
+    std::atomic<bool> ended_{false};
     server server_;
 };
 
@@ -843,7 +870,7 @@
         if (::mkdtemp(path.data()) == nullptr)
             throw std::runtime_error("no temporary folder");
     }
-    ~temporary_folder()
+    void remove() const
     {
         std::error_code ignored;
         if (std::getenv("KEEP_LOGS") == nullptr)
@@ -863,4 +890,15 @@
 constexpr int held = 0;
 constexpr int cannot_run = 2;
 
+// Ends the nodes and this process. Threads of stand-ins may still run.
+[[noreturn]] inline void finish(record& out, std::list<node>& nodes,
+                                temporary_folder const& files, int result)
+{
+    for (auto& it : nodes)
+        end(it);
+    files.remove();
+    out.line("result " + std::to_string(result));
+    std::_Exit(result);
+}
+
 } // namespace rig
