--- a/review/stage-3/rig.hpp
+++ b/review/stage-3/rig.hpp
@@ -492,6 +492,16 @@
         std::scoped_lock const lock(mutex_);
         add(topic, std::string(1, static_cast<char>(key.size())) + key + value);
     }
+    // Returns the newest value of a key; empty if there is none.
+    std::string newest_value(std::string const& topic, std::string const& key)
+    {
+        std::scoped_lock const lock(mutex_);
+        auto const& all = topics_[topic];
+        auto const it =
+            std::find_if(all.rbegin(), all.rend(),
+                         [&](auto const& n) { return key_of(n.bytes) == key; });
+        return it == all.rend() ? "" : it->bytes.substr(1 + key.size());
+    }
     std::size_t end_of(std::string const& topic)
     {
         std::scoped_lock const lock(mutex_);
@@ -653,9 +663,9 @@
 {
 public:
     runner(store& s, std::string id, std::string service, server::handler on,
-           int slots = 16, std::string models = {})
+           std::string version = "v1", int slots = 16)
         : store_(s), id_(std::move(id)), service_(std::move(service)),
-          slots_(slots), models_(std::move(models)),
+          version_(std::move(version)), slots_(slots),
           server_([this, on](channel& c, message const& in) {
               if (in.field("Expect-Instance") != id_ && in.path() != "/health")
                   return c.send(answer_bytes(
@@ -692,23 +702,22 @@
         std::scoped_lock const lock(mutex_);
         if (ended_)
             return;
-        store_.put("keyed.servers", id_,
-                   "{\"service\":\"" + service_ + "\",\"address\":\"" +
-                       server_.address() +
-                       "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" +
-                       std::to_string(slots_) + ",\"state\":\"" +
-                       (leaving_ ? "draining" : "ready") +
-                       "\",\"cold_left_ms\":0," + models_ +
-                       "\"born\":" + std::to_string(born_) +
-                       ",\"sequence\":" + std::to_string(++sequence_) + "}");
+        store_.put(
+            "keyed.servers", id_,
+            "{\"service\":\"" + service_ + "\",\"address\":\"" +
+                server_.address() + "\",\"zone\":\"zone-a\",\"version\":\"" +
+                version_ + "\",\"slots\":" + std::to_string(slots_) +
+                ",\"state\":\"" + (leaving_ ? "draining" : "ready") +
+                "\",\"cold_left_ms\":0,\"born\":" + std::to_string(born_) +
+                ",\"sequence\":" + std::to_string(++sequence_) + "}");
     }
 
 private:
     store& store_;
     std::string id_;
     std::string service_;
+    std::string version_;
     int slots_;
-    std::string models_;
     std::mutex mutex_;
     std::int64_t born_ = wall_ms();
     int sequence_ = 0;
