--- a/review/stage-3/rig.hpp
+++ b/review/stage-3/rig.hpp
@@ -736,6 +736,7 @@
     std::string folder;
     std::string settings; // extra lines
     pid_t pid = 0;
+    bool has_started = false;
 
     std::string settings_file() const { return folder + "/settings"; }
 };
@@ -783,8 +784,22 @@
     return n;
 }
 
+// The whole system starts for the first time once: later settings say so.
+inline void end_bootstrap(node const& n)
+{
+    constexpr std::string_view first = "bootstrap=true";
+    std::ifstream in(n.settings_file());
+    std::string text((std::istreambuf_iterator<char>(in)), {});
+    in.close();
+    if (auto const at = text.find(first); at != std::string::npos)
+        text.replace(at, first.size(), "bootstrap=false");
+    std::ofstream(n.settings_file()) << text;
+}
+
 inline void start(node& n)
 {
+    if (std::exchange(n.has_started, true))
+        end_bootstrap(n);
     auto const log = n.folder + "/log";
     auto const exe = program();
     auto const settings = "PAPAYAHOOK_SETTINGS=" + n.settings_file();
