--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -1329,6 +1329,7 @@
     std::string cold_sender;   // the one node that sends to it while it is cold
     double cold_budget = 0;    // calls that this node may send it
     time_point cold_budget_at{}; // when `cold_budget` was counted
+    time_point called_at{};      // begin of this node's newest call
 };
 
 struct evacuation_state
@@ -1732,8 +1733,11 @@
     time_point awaits_store_since{}; // start of this node
     time_point store_failed_at{};    // this node's newest failed read of it
     follow_store store_reads;        // what this node reads of the store now
-    store_era era = 0;               // highest era of the store known here
-    time_point era_seen_at{};        // when this node learned of it
+    duration max_call_data_age{};    // oldest registry state a call began with
+    // Begin of the registry's reads, until one has ended.
+    std::optional<time_point> registry_read_begun;
+    store_era era = 0;        // highest era of the store known here
+    time_point era_seen_at{}; // when this node learned of it
     duty_state duties;
     std::map<std::string, work_rate> work; // of this node, by pool
     time_point work_since{};               // when `work` was first counted
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -197,6 +197,11 @@
 bool is_settling(node_state const& s);
 // Returns whether this node reads the stream that holds the lease.
 bool can_hold_lease(node_state const& s);
+// Age of the registry's data here; a node that starts counts from its start.
+duration registry_age(node_state const& s);
+std::string describe_store_age(node_state const& s);
+// Reports how the first read since this node began to read the registry ended.
+void report_registry_read(node_state& s, bool succeeded, effects& out);
 // Decides what this node reads of the store.
 void plan_store_reads(node_state& s, effects& out);
 // Returns whether an endpoint was listed and must get no more work.
@@ -448,6 +453,7 @@
 inline constexpr int member_changed = 604;
 inline constexpr int hub_chosen = 605;
 inline constexpr int store_followed = 306;
+inline constexpr int registry_read = 308;
 inline constexpr int store_returned = 307;
 inline constexpr int move_stage = 701;
 inline constexpr int move_vetoed = 702;
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -58,6 +58,7 @@
         update_store_age(s, e.data_age, out);
     else
         s.store_failed_at = s.now;
+    report_registry_read(s, e.reachable, out);
     if (s.log_reachable == e.reachable)
         return;
     s.log_reachable = e.reachable;
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -53,6 +53,16 @@
     return !e.present ? "dropped" : e.draining ? "draining" : "ready";
 }
 
+// How long ago this node called the endpoint.
+std::string describe_last_call(node_state const& s, endpoint_state const& known)
+{
+    if (known.called_at == time_point{})
+        return "no call";
+    auto const passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        s.now - known.called_at);
+    return "last call " + std::to_string(passed.count()) + " ms ago";
+}
+
 void report_entry(node_state const& s, endpoint_state const& known,
                   effects& out)
 {
@@ -62,7 +72,9 @@
                        std::to_string(e.at) + ", version " + e.value.version +
                        ", zone " + e.value.zone + ", pool " + e.value.pool +
                        ", sequence " + std::to_string(e.sequence) + ", from " +
-                       known.source + ", era " + std::to_string(s.era));
+                       known.source + ", era " + std::to_string(s.era) + ", " +
+                       describe_store_age(s) + ", " +
+                       describe_last_call(s, known));
 }
 
 } // namespace
@@ -285,7 +297,7 @@
             known.usable_until - s.now);
         out += ", in use for " + std::to_string(left.count()) + " ms";
     }
-    return out;
+    return out + ", " + describe_store_age(s);
 }
 
 bool is_out_of_use(node_state const& s, endpoint_state const& known)
--- a/src/core/store_readers.cpp
+++ b/src/core/store_readers.cpp
@@ -41,7 +41,7 @@
     if (s.rank < reader_count)
         return true;
     // A node that starts waits for its peers' data before it reads the store.
-    auto const age = s.now - std::max(s.store_as_of, s.awaits_store_since);
+    auto const age = registry_age(s);
     auto const limit = duration(s.settings.max_store_age);
     if (!has_live_peer(s))
         return age >= limit;
@@ -88,6 +88,32 @@
     return s.settings.max_store_age == 0ms || s.store_reads.duties;
 }
 
+duration registry_age(node_state const& s)
+{
+    return s.now - std::max(s.store_as_of, s.awaits_store_since);
+}
+
+std::string describe_store_age(node_state const& s)
+{
+    auto const age = store_age(s);
+    return age == unknown_store_age
+               ? std::string("data unknown")
+               : "data " + std::to_string(age.count()) + " ms old";
+}
+
+void report_registry_read(node_state& s, bool succeeded, effects& out)
+{
+    if (!s.registry_read_begun)
+        return;
+    auto const passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        s.now - *s.registry_read_begun);
+    s.registry_read_begun.reset();
+    emit_log_event(out, events::registry_read, s.settings.name, "",
+                   std::string(succeeded ? "answered" : "failed") + " after " +
+                       std::to_string(passed.count()) + " ms, " +
+                       describe_store_age(s));
+}
+
 std::chrono::milliseconds store_age(node_state const& s)
 {
     return std::min(
@@ -163,15 +189,14 @@
     if (next.duties && !s.store_reads.duties)
         // Another node may hold the lease by now.
         s.duties.has_read_stream = false;
+    if (next.registry != s.store_reads.registry)
+        s.registry_read_begun =
+            next.registry ? std::optional(s.now) : std::nullopt;
     s.store_reads = next;
-    auto const age = store_age(s);
     emit_log_event(out, events::store_followed, s.settings.name, "",
                    std::string(next.registry ? "registry" : "") +
                        (next.duties ? " duties" : "") + ", rank " +
-                       std::to_string(s.rank) + ", data " +
-                       (age == unknown_store_age
-                            ? "unknown"
-                            : std::to_string(age.count()) + " ms old"));
+                       std::to_string(s.rank) + ", " + describe_store_age(s));
     out.push_back(next);
 }
 
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -401,6 +401,9 @@
     begin_prefill(s, r, e);
     count_cold_call(s, r, e);
     s.endpoints[endpoint].in_flight++;
+    s.endpoints[endpoint].called_at = s.now;
+    if (s.settings.max_store_age > 0ms)
+        s.max_call_data_age = std::max(s.max_call_data_age, registry_age(s));
     s.limits[{e.pool, version}].in_flight++;
     s.counts.dispatches++;
     count_dispatch(s, r);
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -199,6 +199,10 @@
         gauge(r, "papayahook_store_age_seconds",
               "Age of the data of the platform's store that this node knows",
               std::chrono::duration<double>(s.now - s.store_as_of).count());
+    gauge(r, "papayahook_call_data_age_max_seconds",
+          "Age of the oldest data of the platform's store with which a call "
+          "began, since the start",
+          std::chrono::duration<double>(s.max_call_data_age).count());
     // Nodes whose figures differ for longer than a configuration takes to reach
     // them are behind.
     if (s.config.version != 0) {
