A node reads in time after a failed read, and begins no calls with older data

Callers saw: requests at a back end that had said it was leaving, on 295 nodes. Cause: a node whose own read of the store had failed once waited by its rank alone, 60 ms a rank: 17.5 s at the last of 295, whatever had failed and when. Beside it, the wait by rank (0.24 of drain_ms) and a read without a bound left less than nothing of drain_ms for the call itself. Ruled out there: readers that are gone (store_readers_test). Change: 0.6 of drain_ms until data are stale, 0.1 by rank, 0.2 in which a node repeats its reads, 0.1 for the way of the call. After 0.9 a node begins no call until its read has ended or the 0.2 have passed. Failures from before the data were fresh count no more; the pause after others is bounded by the store's stable window.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -738,8 +738,12 @@
     std::chrono::milliseconds hub_timeout{2'500};
     // Staleness of the registry state at which a node reads the registry
     // itself, beside the few nodes that read it for all; zero: nodes are not
-    // selected to read it.
+    // selected to read it. A node begins no call with data that are one and a
+    // half times as old, unless its own reads fail. The rest up to five thirds,
+    // after which a change must be in force, is for the call's way.
     std::chrono::milliseconds max_store_age{0};
+    // Longest pause of a node with stale data after its own reads have failed.
+    std::chrono::milliseconds max_read_pause{2'600};
     std::chrono::milliseconds stage_time{3'000}; // shortest stage of a move
     // A move of a route that has not finished is taken back this long before
     // its deadline.
@@ -1651,6 +1655,8 @@
     std::uint64_t quarantines = 0; // parts of prompts, each time
     std::uint64_t refused_quarantined = 0; // requests with such a part
     std::uint64_t store_returns = 0;       // of the store from an older copy
+    // Calls whose endpoint was found to leave before they were sent.
+    std::uint64_t withheld_calls = 0;
 };
 
 // Upper bounds of the histogram buckets. One more bucket counts larger values.
@@ -1734,6 +1740,7 @@
     time_point store_failed_at{};    // this node's newest failed read of it
     follow_store store_reads;        // what this node reads of the store now
     duration max_call_data_age{};    // oldest registry state a call began with
+    time_point registry_tried_at{};  // first own read of data that are stale
     // Begin of the registry's reads, until one has ended.
     std::optional<time_point> registry_read_begun;
     store_era era = 0;        // highest era of the store known here
@@ -1820,6 +1827,10 @@
 std::vector<std::string> holders_of(node_state const& state,
                                     request_id const& id);
 
+// Returns whether a call that has begun may be sent at that time, by what the
+// node has learned since: its endpoint may have begun to leave.
+bool may_send_call(node_state const& state, call_id call, time_point at);
+
 // Returns the number of endpoints that the registry's entries allow to use.
 std::ptrdiff_t usable_endpoints(node_state const& s);
 // Returns the parts of prompts that get no calls.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -189,6 +189,8 @@
 // a flood of chats from one organisation must not delay checks of another.
 void drain_pool(node_state& s, organisation_queues& queues, effects& out)
 {
+    if (!may_rely_on_registry(s, s.now))
+        return;
     std::vector<queue_cursor> cursors;
     for (auto& [name, queue] : queues)
         if (!queue.empty())
--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -197,6 +197,9 @@
 bool is_settling(node_state const& s);
 // Returns whether this node reads the stream that holds the lease.
 bool can_hold_lease(node_state const& s);
+// Returns whether this node may begin calls by what it knows of the endpoints:
+// not while newer data may exist that its own read has yet to find.
+bool may_rely_on_registry(node_state const& s, time_point at);
 // Age of the registry's data here; a node that starts counts from its start.
 duration registry_age(node_state const& s);
 std::string describe_store_age(node_state const& s);
@@ -438,6 +441,7 @@
 inline constexpr int caller_left = 409;
 inline constexpr int call_broken_off = 410;
 inline constexpr int answer_not_held = 411;
+inline constexpr int call_withheld = 421;
 inline constexpr int endpoint_leaving = 501;
 inline constexpr int endpoint_paused = 502;
 inline constexpr int handed_over = 503;
--- a/src/core/store_readers.cpp
+++ b/src/core/store_readers.cpp
@@ -17,8 +17,11 @@
 
 constexpr std::size_t reader_count = 2; // in normal operation
 constexpr auto reader_step = 60ms;      // additional staleness per rank
-// Longest additional staleness, as a fraction of the limit.
-constexpr double max_reader_wait = 0.4;
+// Fractions of the limit. Together with the limit they leave a tenth of the
+// time in which a change must be in force for a call's way to its endpoint.
+constexpr double max_reader_wait = 1.0 / 6; // additional staleness by rank
+constexpr double own_read_time = 1.0 / 3;   // in which a node repeats its reads
+constexpr double longest_use = 1 + max_reader_wait + own_read_time;
 // A node that received no message from a peer for longer is isolated.
 constexpr auto isolated_after = 1'000ms;
 // Entries expire after some three seconds without a write, one of which may
@@ -29,6 +32,31 @@
 // Age of a copy from which the store may come back.
 constexpr auto longest_copy_age = 30s;
 
+duration part_of_limit(node_state const& s, double fraction)
+{
+    return std::chrono::duration_cast<duration>(
+        fraction * duration(s.settings.max_store_age));
+}
+
+// The time as of which the data are complete. A node that starts waits for its
+// peers' data before it reads the store.
+time_point fresh_at(node_state const& s)
+{
+    return std::max(s.store_as_of, s.awaits_store_since);
+}
+
+bool has_tried_own_read(node_state const& s)
+{
+    return s.registry_tried_at > fresh_at(s);
+}
+
+// Single reads fail also at a node that the store answers.
+bool is_own_read_due(node_state const& s, time_point at)
+{
+    return has_tried_own_read(s) &&
+           at < s.registry_tried_at + part_of_limit(s, own_read_time);
+}
+
 bool has_live_peer(node_state const& s)
 {
     return std::ranges::any_of(s.peers, [&](auto const& it) {
@@ -40,21 +68,23 @@
 {
     if (s.rank < reader_count)
         return true;
-    // A node that starts waits for its peers' data before it reads the store.
     auto const age = registry_age(s);
     auto const limit = duration(s.settings.max_store_age);
     if (!has_live_peer(s))
         return age >= limit;
+    if (is_own_read_due(s, s.now) && age >= limit / 2)
+        return true;
     auto const rank_delay =
         static_cast<int>(s.rank - reader_count) * duration(reader_step);
-    // Its rank must not keep a node from reading in time: fresher data may be
-    // late on their way here. Only after its own read has failed does a node
-    // wait by its rank alone.
-    if (s.now < s.store_failed_at + rank_delay)
+    // A store that is down must not be queried by all nodes again and again.
+    // Failures from before the data were fresh say nothing of it.
+    auto const pause =
+        std::min(rank_delay, duration(s.settings.max_read_pause));
+    if (has_tried_own_read(s) && s.now < s.store_failed_at + pause)
         return false;
-    auto const wait =
-        std::min(rank_delay,
-                 std::chrono::duration_cast<duration>(max_reader_wait * limit));
+    // Its rank must not keep a node from reading in time: fresher data may be
+    // late on their way here.
+    auto const wait = std::min(rank_delay, part_of_limit(s, max_reader_wait));
     // Hysteresis: a node that reads already continues until peers deliver
     // fresher data again.
     auto const threshold = s.store_reads.registry ? limit / 2 : limit;
@@ -64,10 +94,7 @@
 // Longest age of the data while the store answers some node.
 duration longest_age(node_state const& s)
 {
-    auto const limit = duration(s.settings.max_store_age);
-    return limit +
-           std::chrono::duration_cast<duration>(max_reader_wait * limit) +
-           duration(read_allowance);
+    return part_of_limit(s, 1 + max_reader_wait) + duration(read_allowance);
 }
 
 } // namespace
@@ -90,7 +117,17 @@
 
 duration registry_age(node_state const& s)
 {
-    return s.now - std::max(s.store_as_of, s.awaits_store_since);
+    return s.now - fresh_at(s);
+}
+
+// A node whose own reads fail cannot tell a store that is away from one that
+// turns it away, and serves on.
+bool may_rely_on_registry(node_state const& s, time_point at)
+{
+    bool const reads = s.settings.max_store_age != 0ms && s.listed_nodes != 0;
+    if (!reads || at < fresh_at(s) + part_of_limit(s, longest_use))
+        return true;
+    return has_tried_own_read(s) && !is_own_read_due(s, at);
 }
 
 std::string describe_store_age(node_state const& s)
@@ -126,7 +163,12 @@
 {
     if (age >= unknown_store_age)
         return;
+    auto const limit = duration(s.settings.max_store_age);
+    bool const was_stale = registry_age(s) >= limit;
     s.store_as_of = std::max(s.store_as_of, s.now - duration(age));
+    // Nodes that wait for fresher data need not read the store themselves.
+    if (was_stale && registry_age(s) < limit / 2)
+        s.last_heartbeat_at = {};
     learn_store_reached(s, age, out);
 }
 
@@ -181,6 +223,8 @@
     // The list of nodes is read first: it tells whether other nodes read.
     bool const listed = s.listed_nodes != 0;
     next.registry = listed && should_read_registry(s);
+    if (next.registry && !has_tried_own_read(s))
+        s.registry_tried_at = s.now;
     next.duties = !listed || s.rank < reader_count || s.duties.fencing != 0;
     bool const unchanged = next.registry == s.store_reads.registry &&
                            next.duties == s.store_reads.duties;
