A call is checked again when its new connection is open

Cause: an endpoint was chosen when a call began, and a new connection may take up to 1.2 s; news of that time was not looked at when the request was sent. Change: the client asks before it writes a request on a new connection. A call whose endpoint leaves by then, or whose node's data are too old, is placed again; it reached nobody, so it takes no share of the retry budget. Evidence: two tests, which cannot be compiled before: the check did not exist.

--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -485,7 +485,8 @@
 PAPAYAHOOK_JSON(totals, requests, answered, refused_not_run, refused_unknown,
                 failed_answers, dispatches, retries, resumed_streams,
                 tokens_recomputed, appends, claims, peer_messages, handed_over,
-                taken_over, quarantines, refused_quarantined, store_returns)
+                taken_over, quarantines, refused_quarantined, store_returns,
+                withheld_calls)
 PAPAYAHOOK_JSON(concurrency_limit, in_flight, limit, (first_tokens, "seen"),
                 (late_mean, "late"), reached, judged_at)
 PAPAYAHOOK_JSON(decision, at, subject, rule, detail)
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -266,6 +266,29 @@
                    out);
 }
 
+// Places a call that was not sent at another endpoint.
+void place_again(node_state& s, request_state& r, std::string detail,
+                 effects& out)
+{
+    emit_log_event(out, events::call_withheld, r.request.id, r.endpoint,
+                   detail + ", after " +
+                       milliseconds_text(s.now - r.call_started) +
+                       describe_entry(s, s.endpoints[r.endpoint]));
+    s.counts.withheld_calls++;
+    close_call(s, r);
+    r.failed_connects++;
+    if (chunk_count(r) == 0)
+        r.version.clear();
+    if (may_call_again(s, r)) {
+        enqueue(s, r, out);
+        return;
+    }
+    refuse_request(s, r,
+                   {503, outcome::not_run, step::route, "", std::move(detail),
+                    short_retry_after},
+                   out);
+}
+
 // Callers send a request that is not repeatable again after these.
 bool promises_not_run(int status)
 {
@@ -332,6 +355,18 @@
            (r.endpoint_resumes && r.has_position && !r.passes_on_only);
 }
 
+bool may_send_call(node_state const& s, call_id call, time_point at)
+{
+    auto const it = s.calls.find(call);
+    if (it == s.calls.end())
+        return false;
+    auto const& r = s.requests.at(it->second);
+    auto const e = s.config.endpoints.find(r.endpoint);
+    return e != s.config.endpoints.end() &&
+           e->second.value.incarnation == r.incarnation &&
+           !is_leaving(s, e->second.value) && may_rely_on_registry(s, at);
+}
+
 void stop_call(node_state& s, request_state& r, effects& out)
 {
     remove_from_queue(s, r);
@@ -549,6 +584,10 @@
     auto* const r = request_of_call(s, e.call);
     if (r == nullptr)
         return;
+    if (e.failed_step == step::route) {
+        place_again(s, *r, e.detail, out);
+        return;
+    }
     if (e.closed_by_endpoint && !r->request.shared_parts.empty()) {
         emit_log_event(out, events::call_broken_off, r->request.id, r->endpoint,
                        describe_broken_call(s, *r, e));
--- a/src/runtime/endpoint_calls.cpp
+++ b/src/runtime/endpoint_calls.cpp
@@ -169,6 +169,8 @@
 {
     if (name == "connect")
         return core::step::connect;
+    if (name == "route")
+        return core::step::route;
     if (name == "send")
         return core::step::send;
     return core::step::receive;
@@ -196,6 +198,9 @@
     // No limit: the body is forwarded as it arrives, at the caller's pace.
     call.max_body_bytes = std::numeric_limits<std::size_t>::max();
     auto const id = it.call;
+    call.may_send = [&n, id] {
+        return core::may_send_call(n.state, id, now(n));
+    };
     call.on_head = [&n, id](int status, header_list const& headers) {
         on_head(n, id, status, headers);
     };
--- a/src/runtime/gateway_calls.cpp
+++ b/src/runtime/gateway_calls.cpp
@@ -81,6 +81,9 @@
     // A stream may have any length; on_call_data() limits what is buffered.
     call.max_body_bytes = std::numeric_limits<std::size_t>::max();
     auto const id = it.call;
+    call.may_send = [&n, id] {
+        return core::may_send_call(n.state, id, now(n));
+    };
     call.on_head = [this, id](int status, header_list const& headers) {
         on_call_head(id, status, headers);
     };
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -49,6 +49,7 @@
     bad_header,
     too_long,
     no_connection_left,
+    withheld,
 };
 
 class fault_category_type final : public std::error_category
@@ -76,6 +77,8 @@
             return "the answer is longer than any that is expected";
         case fault::no_connection_left:
             return "this node has no connection left";
+        case fault::withheld:
+            return "the endpoint may be called no more";
         }
         return "unknown";
     }
@@ -545,6 +548,10 @@
         fail(c, ec, "connect");
         return;
     }
+    if (c->call->call.may_send && !c->call->call.may_send()) {
+        fail(c, make_error(fault::withheld), "route");
+        return;
+    }
     c->connected = true;
     set_options(c->socket);
     c->timer.cancel();
--- a/src/runtime/http_client.hpp
+++ b/src/runtime/http_client.hpp
@@ -43,6 +43,9 @@
     bool limited = false;          // its connection counts towards max_limited
     // Limit of the answer's body. The parser limits the head.
     std::size_t max_body_bytes = 16UL * 1024 * 1024;
+    // May be empty. Asked when a new connection is open; false: the request is
+    // not sent, and the call fails at step "route".
+    std::function<bool()> may_send;
     std::function<void(int status, header_list const&)> on_head;
     std::function<void(std::string_view)> on_data;
     std::function<void(http_result const&)> on_done; // called exactly once
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -252,6 +252,9 @@
             n.dispatches);
     counter(r, "papayahook_retries_total", "Calls after a failed one",
             n.retries);
+    counter(r, "papayahook_withheld_calls_total",
+            "Calls that were not sent, as their endpoint had left meanwhile",
+            n.withheld_calls);
     counter(r, "papayahook_resumed_streams_total",
             "Streams that went on at another endpoint", n.resumed_streams);
     counter(r, "papayahook_recomputed_tokens_total",
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
 #include <thread>
 
 using namespace papayahook::runtime;
@@ -753,3 +754,31 @@
     CHECK(call(io, client, p.url()).body == "ok");
     CHECK(p.connections == 1);
 }
+
+// Issue 71: an endpoint had left while the connection was being opened.
+TEST_CASE("a call that may no longer be sent once its connection is open is "
+          "not sent")
+{
+    asio::io_context io;
+    scripted_server server(io,
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"});
+    http_client client(io);
+    for (bool const may_send : {false, true}) {
+        std::optional<http_result> result;
+        http_call call;
+        call.url = server.url();
+        call.may_send = [&] {
+            return may_send;
+        };
+        call.on_done = [&](http_result const& it) {
+            result = it;
+        };
+        client.start(std::move(call));
+        while (!result)
+            io.run_one();
+        CHECK(server.received.empty() == !may_send);
+        CHECK(static_cast<bool>(result->error) == !may_send);
+        CHECK(result->may_have_run == may_send);
+        CHECK((may_send || result->step == "route"));
+    }
+}
--- a/test/leaving_endpoint_test.cpp
+++ b/test/leaving_endpoint_test.cpp
@@ -307,6 +307,41 @@
     }
 }
 
+// The connection takes a while, and the news arrives meanwhile.
+TEST_CASE("a call whose endpoint has left before it is sent goes to another "
+          "endpoint")
+{
+    auto w = make_leaving_world(1);
+    auto const& node = w.f.nodes[0];
+    core::request_arrived e;
+    e.route = "chat";
+    std::optional<core::dispatch> first;
+    for (int left = 100; left > 0 && !first; --left) {
+        e.id = "r" + std::to_string(left);
+        w.f.others[0].clear();
+        give(w.f, 0, e);
+        for (auto const& it : w.f.others[0])
+            if (auto const* const d = std::get_if<core::dispatch>(&it))
+                if (d->endpoint == leaving_name)
+                    first = *d;
+    }
+    REQUIRE(first);
+    CHECK(core::may_send_call(node, first->call, w.f.now));
+    leave(w);
+    run(w, 1s);
+    CHECK_FALSE(core::may_send_call(node, first->call, w.f.now));
+    w.f.others[0].clear();
+    give(w.f, 0,
+         core::call_failed{first->call, core::step::route, false, "left"});
+    auto const second = std::ranges::find_if(w.f.others[0], [](auto const& it) {
+        return std::holds_alternative<core::dispatch>(it);
+    });
+    REQUIRE(second != w.f.others[0].end());
+    CHECK(std::get<core::dispatch>(*second).endpoint == lasting_name);
+    CHECK(node.counts.retries == 0);
+    CHECK(node.counts.withheld_calls == 1);
+}
+
 // Requests wait for the node's own read only as long as it may be answered.
 TEST_CASE("nodes serve on while the store answers nobody")
 {
