--- a/test/leaving_endpoint_test.cpp
+++ b/test/leaving_endpoint_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <random>
+#include <sstream>
 
 using namespace papayahook;
 using namespace papayahook::support;
@@ -70,6 +71,7 @@
     std::map<std::size_t, node_read> reads;
     std::set<std::size_t> not_in_touch; // their sends are not counted
     int requests = 0;
+    int calls = 0;                       // reads that began
     std::chrono::milliseconds latest{0}; // send after an endpoint has left
     std::size_t sends_too_late = 0;
 };
@@ -99,6 +101,7 @@
         return;
     if (!it.due && w.f.now >= it.next) {
         auto const steps = static_cast<unsigned>(w.read_time / step);
+        w.calls++;
         it.began = w.f.now;
         it.due = w.f.now + step * static_cast<int>(w.random() % (steps + 1));
         it.seen = w.entry;
@@ -359,3 +362,28 @@
     for (auto const& [i, it] : held)
         CHECK(it <= 100ms);
 }
+
+// Not run by default: prints what nodes ask of the store and send to peers.
+TEST_CASE("cost of reads at 8, 80 and 300 nodes", "[.cost]")
+{
+    for (std::size_t const count : {8, 80, 300}) {
+        auto w = make_leaving_world(count);
+        std::ostringstream out;
+        auto const measure = [&](char const* what) {
+            auto const sent = w.f.messages_sent;
+            w.calls = 0;
+            run(w, 10s);
+            out << ", " << what << ": " << w.calls << " reads, "
+                << w.f.messages_sent - sent << " messages in 10 s";
+        };
+        measure("calm");
+        for (std::size_t i = 0; i < count; ++i)
+            if (w.f.follows[i].registry)
+                w.f.frozen.insert(i);
+        measure("readers frozen");
+        for (std::size_t i = 0; i < count; ++i)
+            w.denied.insert(i);
+        measure("store away");
+        WARN(count << " nodes" << out.str());
+    }
+}
