--- a/src/core/internal.hpp
+++ b/src/core/internal.hpp
@@ -405,6 +405,7 @@
 void record_latency(latency_histogram& it, duration passed);
 void emit_log_event(effects& out, int number, std::string subject,
                     std::string peer, std::string detail);
+std::string milliseconds_text(duration d);
 // Returns the identity of a part of a prompt as hexadecimal digits.
 std::string part_text(std::uint64_t part);
 void record_decision(node_state& s, std::string subject, std::string rule,
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -304,6 +304,14 @@
                             std::move(detail)});
 }
 
+std::string milliseconds_text(duration d)
+{
+    return std::to_string(
+               std::chrono::duration_cast<std::chrono::milliseconds>(d)
+                   .count()) +
+           " ms";
+}
+
 std::string part_text(std::uint64_t part)
 {
     constexpr int base = 16;
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -58,9 +58,7 @@
 {
     if (known.called_at == time_point{})
         return "no call";
-    auto const passed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        s.now - known.called_at);
-    return "last call " + std::to_string(passed.count()) + " ms ago";
+    return "last call " + milliseconds_text(s.now - known.called_at) + " ago";
 }
 
 void report_entry(node_state const& s, endpoint_state const& known,
@@ -293,9 +291,7 @@
     auto out = std::string(", entry ") + state_of(known.entry) + " at " +
                std::to_string(known.entry.at) + " from " + known.source;
     if (!known.entry.present) {
-        auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            known.usable_until - s.now);
-        out += ", in use for " + std::to_string(left.count()) + " ms";
+        out += ", in use for " + milliseconds_text(known.usable_until - s.now);
     }
     return out + ", " + describe_store_age(s);
 }
--- a/src/core/store_readers.cpp
+++ b/src/core/store_readers.cpp
@@ -142,12 +142,10 @@
 {
     if (!s.registry_read_begun)
         return;
-    auto const passed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        s.now - *s.registry_read_begun);
-    s.registry_read_begun.reset();
+    auto const begun = *std::exchange(s.registry_read_begun, std::nullopt);
     emit_log_event(out, events::registry_read, s.settings.name, "",
                    std::string(succeeded ? "answered" : "failed") + " after " +
-                       std::to_string(passed.count()) + " ms, " +
+                       milliseconds_text(s.now - begun) + ", " +
                        describe_store_age(s));
 }
 
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -12,14 +12,6 @@
 
 using namespace std::chrono_literals;
 
-std::string milliseconds_text(duration d)
-{
-    return std::to_string(
-               std::chrono::duration_cast<std::chrono::milliseconds>(d)
-                   .count()) +
-           " ms";
-}
-
 constexpr int failures_before_pause = 3;
 // Calls without a connection that do not count as attempts of a request: they
 // reach no endpoint.
