The core gets the store's stable window

The part of drain_ms in which a node repeats its own reads stood in the core and, taken off the stable window, in platform/settings.cpp. The core now gets the window and takes its own part off; the pause is the same. test_core and test_codec pass.

--- a/include/papayahook/papayahook.hpp
+++ b/include/papayahook/papayahook.hpp
@@ -742,8 +742,9 @@
     // half times as old, unless its own reads fail. The rest up to five thirds,
     // after which a change must be in force, is for the call's way.
     std::chrono::milliseconds max_store_age{0};
-    // Longest pause of a node with stale data after its own reads have failed.
-    std::chrono::milliseconds max_read_pause{2'600};
+    // The store counts as stable when it has answered for this long. All nodes
+    // have read it by then, also those whose own reads had failed.
+    std::chrono::milliseconds stable_window{3'000};
     std::chrono::milliseconds stage_time{3'000}; // shortest stage of a move
     // A move of a route that has not finished is taken back this long before
     // its deadline.
--- a/src/core/store_readers.cpp
+++ b/src/core/store_readers.cpp
@@ -57,6 +57,13 @@
            at < s.registry_tried_at + part_of_limit(s, own_read_time);
 }
 
+// Leaves time for a read before a store that answers again counts as stable.
+duration longest_read_pause(node_state const& s)
+{
+    return std::max(duration{}, duration(s.settings.stable_window) -
+                                    part_of_limit(s, own_read_time));
+}
+
 bool has_live_peer(node_state const& s)
 {
     return std::ranges::any_of(s.peers, [&](auto const& it) {
@@ -78,8 +85,7 @@
         static_cast<int>(s.rank - reader_count) * duration(reader_step);
     // A store that is down must not be queried by all nodes again and again.
     // Failures from before the data were fresh say nothing of it.
-    auto const pause =
-        std::min(rank_delay, duration(s.settings.max_read_pause));
+    auto const pause = std::min(rank_delay, longest_read_pause(s));
     if (has_tried_own_read(s) && s.now < s.store_failed_at + pause)
         return false;
     // Its rank must not keep a node from reading in time: fresher data may be
