Store soak plays any number of nodes, and tells the margin of leaving runners

PAPAYAHOOK_SOAK_NODES sets the number; callers are as busy in sum as before, and at most seven nodes are restarted in turn. What six and seven nodes draw is unchanged.

--- a/test/soak/draw.hpp
+++ b/test/soak/draw.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <random>
 #include <sstream>
 #include <string>
@@ -19,6 +20,13 @@
     return out.str();
 }
 
+// The number in an environment variable.
+inline std::uint64_t number_from(char const* name, std::uint64_t otherwise)
+{
+    auto const* const it = std::getenv(name);
+    return it != nullptr ? std::stoull(it) : otherwise;
+}
+
 class dice
 {
 public:
--- a/test/soak_test.cpp
+++ b/test/soak_test.cpp
@@ -84,12 +84,6 @@
 // Callers may end their sending side while they wait.
 constexpr bool input_ends = true;
 
-std::uint64_t number_from(char const* name, std::uint64_t otherwise)
-{
-    auto const* const it = std::getenv(name);
-    return it != nullptr ? std::stoull(it) : otherwise;
-}
-
 enum class reader
 {
     reads,
--- a/test/store_soak_test.cpp
+++ b/test/store_soak_test.cpp
@@ -48,7 +48,8 @@
 constexpr int ended_by_sigterm = 128 + SIGTERM;
 constexpr auto loading_time = 100ms;
 constexpr auto caller_patience = 2'500ms;
-constexpr auto caller_pause = 25ms;
+constexpr auto caller_pause = 25ms; // longer beyond `usual_nodes`
+constexpr int usual_nodes = 7;      // more are not restarted in turn
 constexpr int callers_per_node = 2;
 // A thread that sleeps a little is this late only if the machine stands still.
 constexpr auto least_stall = 150ms;
@@ -143,6 +144,7 @@
     spans store_down;    // for all, or its answers are slow or lost
     spans store_rejects; // some nodes, or has lost old records
     spans stalls;        // of the machine
+    milliseconds caller_pause{0};
     std::atomic<int> returns{0};
     std::atomic<int> rests{0}; // troubles during which the operator waits
     std::atomic<bool> in_trouble{false};
@@ -444,7 +446,8 @@
 {
     auto const gap = d.upto(1'500ms);
     auto const first = d.below(static_cast<int>(w.nodes.size()));
-    auto const count = 1 + d.below(static_cast<int>(w.nodes.size()) - 1);
+    auto const most = std::min(usual_nodes, static_cast<int>(w.nodes.size()));
+    auto const count = 1 + d.below(most - 1);
     for (int i = 0; i < count; ++i) {
         stop_node(
             w, w.nodes[static_cast<std::size_t>(first + i) % w.nodes.size()]);
@@ -557,7 +560,7 @@
                 guard const lock(w.mutex);
                 w.requests.push_back(std::move(it));
             }
-            std::this_thread::sleep_for(caller_pause);
+            std::this_thread::sleep_for(w.caller_pause);
         }
     }
 }
@@ -569,6 +572,9 @@
     std::map<std::string, int> judged; // requests or calls, by rule
     std::map<std::string, int> broken;
     std::map<node const*, std::pair<int, int>> served; // of all, by node
+    // Longest time to the last request at a runner that leaves.
+    clock::duration leaving_in_use{};
+    std::string leaving_used_by;
 };
 
 template <class... Parts>
@@ -718,12 +724,16 @@
         if (!bound)
             continue;
         all.judged["DRAIN"]++;
+        auto const late = it.at - runner.leaving;
+        if (late > all.leaving_in_use) {
+            all.leaving_in_use = late;
+            all.leaving_used_by = r.to->name;
+        }
         if (it.at > runner.leaving + drain_limit)
-            broken(
-                w, all, "DRAIN", "reached ", it.runner, " ",
-                std::chrono::duration<double>(it.at - runner.leaving).count(),
-                " s after its leaving was acknowledged at ",
-                at(w, runner.leaving), ": ", describe(w, r));
+            broken(w, all, "DRAIN", "reached ", it.runner, " ",
+                   std::chrono::duration<double>(late).count(),
+                   " s after its leaving was acknowledged at ",
+                   at(w, runner.leaving), ": ", describe(w, r));
     }
 }
 
@@ -833,7 +843,9 @@
     std::cout << "; broken:";
     for (auto const& [rule, n] : all.broken)
         std::cout << ' ' << rule << ' ' << n;
-    std::cout << std::endl;
+    std::cout << "; leaving runners in use for "
+              << std::chrono::duration<double>(all.leaving_in_use).count()
+              << " s by " << all.leaving_used_by << std::endl;
 }
 
 // One run
@@ -852,7 +864,11 @@
     auto const* const next = std::getenv("PAPAYAHOOK_SOAK_NEXT_NODE");
     auto const program =
         chosen != nullptr ? chosen : support::program("papayahook-node");
-    int const count = 6 + d.below(2);
+    auto const drawn = static_cast<std::uint64_t>(6 + d.below(2));
+    auto const count =
+        static_cast<int>(number_from("PAPAYAHOOK_SOAK_NODES", drawn));
+    w.caller_pause = std::max<milliseconds>(caller_pause,
+                                            caller_pause * count / usual_nodes);
     for (int i = 0; i < count; ++i) {
         auto& n = w.nodes.emplace_back();
         n.name = text("front-", zones[i % 3], '-', i / 3 + 1);
