--- a/test/support/processes.cpp
+++ b/test/support/processes.cpp
@@ -68,7 +68,7 @@
 // reserved max_reserved others. Returns false if another process has it.
 bool reserve(std::uint16_t port)
 {
-    constexpr std::size_t max_reserved = 500;
+    constexpr std::size_t max_reserved = 2'000;
     if (!set_lock(port, F_WRLCK))
         return false;
     reserved.push_back(port);
