--- a/test/evacuation_test.cpp
+++ b/test/evacuation_test.cpp
@@ -64,16 +64,10 @@
 
 core::config_snapshot document()
 {
-    core::config_snapshot out;
-    out.applied = 100;
-    out.lists_endpoints = false;
-    core::route r;
-    r.name = "chat";
-    r.pool = "model";
-    r.anonymous = true;
+    auto out = chat_configuration(100);
+    auto& r = out.routes.front().value;
     r.resumable = true;
     r.max_attempts = 4;
-    out.routes.push_back({r, 100});
     return out;
 }
 
--- a/test/leaving_endpoint_test.cpp
+++ b/test/leaving_endpoint_test.cpp
@@ -38,15 +38,8 @@
 
 core::config_snapshot document()
 {
-    core::config_snapshot out;
-    out.applied = 1;
-    out.lists_endpoints = false;
-    core::route r;
-    r.name = "chat";
-    r.pool = "model";
-    r.anonymous = true;
-    r.deadline = 10s;
-    out.routes.push_back({r, 1});
+    auto out = chat_configuration(1);
+    out.routes.front().value.deadline = 10s;
     return out;
 }
 
--- a/test/support/fabric.cpp
+++ b/test/support/fabric.cpp
@@ -219,4 +219,17 @@
     return farthest;
 }
 
+core::config_snapshot chat_configuration(core::offset applied)
+{
+    core::config_snapshot out;
+    out.applied = applied;
+    out.lists_endpoints = false;
+    core::route r;
+    r.name = "chat";
+    r.pool = "model";
+    r.anonymous = true;
+    out.routes.push_back({r, applied});
+    return out;
+}
+
 } // namespace papayahook::support
--- a/test/support/fabric.hpp
+++ b/test/support/fabric.hpp
@@ -60,6 +60,9 @@
 void kill(fabric& f, std::size_t node);
 void restart(fabric& f, std::size_t node);
 
+// A configuration with the route "chat" to the pool "model", open to anybody.
+core::config_snapshot chat_configuration(core::offset applied);
+
 // Returns the nodes that a node has links with, once their hellos have arrived.
 std::set<std::size_t> linked_with(fabric const& f, std::size_t node);
 // Returns the number of links between the first node and the farthest node, or
